--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -104,7 +104,7 @@
 
 const (
 	comeBack      = time.Second // Retry-After while it isn't known what is missing: a new leader or placer is there by then
-	lateFactor    = 3           // times its objective, an answer is still worth something
+	longPatience  = time.Minute // of a caller that doesn't say how long it waits
 	leastPatience = 10 * time.Millisecond
 )
 
@@ -154,9 +154,9 @@
 func (n *Node) handOf(m Submit, route routes.Route) msgs.JobHand {
 	d := m.Spec.Demand
 	objective := time.Duration(route.SlackFactor*float64(d.Expected)) + route.Objective
-	expires := lateFactor * objective
+	expires := longPatience
 	if m.Patience > 0 {
-		expires = max(min(expires, m.Patience), leastPatience)
+		expires = max(m.Patience, leastPatience)
 	}
 	return msgs.JobHand{
 		Job: m.Job, Host: n.Self, Incarnation: n.Incarnation,
--- a/entry/node.go
+++ b/entry/node.go
@@ -270,7 +270,7 @@
 	}
 	if n.placements[n.DataCentre].Host == m.Host && m.Table != nil {
 		n.servers, n.tableEpoch = m.Servers, m.Epoch
-		_ = n.Send(n.Self, msgs.ServicePlacer, placer.Table{Servers: m.Table}) // on this host
+		_ = n.Send(n.Self, msgs.ServicePlacer, placer.Table{Epoch: m.Epoch, Servers: m.Table}) // on this host
 	}
 }
 
--- a/fleet/book.go
+++ b/fleet/book.go
@@ -22,7 +22,7 @@
 type Command struct {
 	Kind      Kind
 	Routes    *model.RoutesText
-	Placement *model.Placement // without Epoch, which the book gives
+	Placement *model.Placement // without Epoch and Former, which the book gives
 }
 
 // Result is the effect of a command.
@@ -87,7 +87,7 @@
 	case c.Kind == KindPlace && c.Placement != nil:
 		b.epoch++
 		p := *c.Placement
-		p.Epoch = b.epoch
+		p.Epoch, p.Former = b.epoch, b.placements[p.DataCentre].Epoch
 		b.placements[p.DataCentre], changed = p, true
 	}
 	return Result{Changed: changed, Routes: b.routes}
--- a/hosted/host.go
+++ b/hosted/host.go
@@ -162,7 +162,9 @@
 }
 
 func (h *Host) placer() kernel.Service {
-	n := &placer.Node{Self: h.self.Name, DataCentre: h.self.DataCentre, Calls: h.calls, Hooks: h.placerHooks()}
+	n := &placer.Node{
+		Self: h.self.Name, DataCentre: h.self.DataCentre, Incarnation: h.self.Incarnation, Calls: h.calls, Hooks: h.placerHooks(),
+	}
 	return n.Service(depth, func(t *kernel.Task) { n.Send = h.mailer(t) })
 }
 
--- a/model/placement.go
+++ b/model/placement.go
@@ -9,6 +9,7 @@
 	Host        string
 	Incarnation uint64 // of the host's process
 	Epoch       uint64
+	Former      uint64 // epoch of the placement before in this data centre, 0 for none
 }
 
 // RoutesText is one version of the routes document as it was put.
--- a/placer/node.go
+++ b/placer/node.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"dogwoodrock.example/dogwoodrock/kernel"
@@ -35,19 +37,21 @@
 
 // Node is one host's part in placing.
 type Node struct {
-	Self       string
-	DataCentre string
-	Calls      Calls
-	Hooks      Hooks
-	Send       func(to, service string, body any) error
+	Self        string
+	DataCentre  string
+	Incarnation uint64 // of this process
+	Calls       Calls
+	Hooks       Hooks
+	Send        func(to, service string, body any) error
 
-	task    *kernel.Task
-	placer  *runs.Placer // nil while another host places
-	latest  model.Placement
-	servers map[string]model.Server
-	version uint64 // of servers
-	hosts   map[string]*host
-	early   []early
+	task       *kernel.Task
+	placer     *runs.Placer // nil while another host places
+	latest     model.Placement
+	servers    map[string]model.Server
+	version    uint64 // of servers
+	tableEpoch uint64 // of the placer that told servers
+	hosts      map[string]*host
+	early      []early
 }
 
 // host is an entry host that sends jobs.
@@ -67,8 +71,10 @@
 	Placement model.Placement
 }
 
-// Table is the table of backend servers that the placer told an entry host.
+// Table is the table of backend servers that the placer of an epoch told an
+// entry host.
 type Table struct {
+	Epoch   uint64
 	Servers []model.Server
 }
 
@@ -109,7 +115,7 @@
 	case Placed:
 		n.placed(m.Placement, now)
 	case Table:
-		n.adoptTable(m.Servers)
+		n.adoptTable(m)
 	case Beat:
 		m.Reply(n.beat(m.Server, now))
 	case msgs.ServerSeen:
@@ -150,13 +156,12 @@
 	}
 	n.latest = p
 	n.stop("superseded")
-	if p.Host != n.Self {
-		return
-	}
-	n.placer = runs.New(p.Epoch, now)
-	for _, s := range n.servers {
-		n.placer.Report(s, now)
+	if p.Host != n.Self || p.Incarnation != n.Incarnation {
+		return // an earlier process of this host may have placed under this epoch
 	}
+	n.placer = runs.New(p.Epoch, p.Former == n.tableEpoch, now)
+	n.tableEpoch = p.Epoch
+	n.placer.TakeOver(slices.Collect(maps.Values(n.servers)), now)
 	n.Hooks.Began(p, len(n.servers))
 	waiting := n.early
 	n.early = nil
@@ -257,12 +262,13 @@
 	return Noted{Taken: true}
 }
 
-func (n *Node) adoptTable(servers []model.Server) {
+func (n *Node) adoptTable(m Table) {
 	if n.placer != nil {
 		return
 	}
+	n.tableEpoch = m.Epoch
 	clear(n.servers)
-	for _, s := range servers {
+	for _, s := range m.Servers {
 		n.servers[s.Name] = s
 	}
 }
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -22,6 +22,7 @@
 	epoch   uint64
 	began   time.Time
 	settled bool
+	whole   bool // the servers used by the placer before are known
 
 	servers map[string]*server
 	jobs    map[string]*job
@@ -64,10 +65,12 @@
 	how How
 }
 
-// New returns a placer without servers and jobs.
-func New(epoch uint64, now time.Time) *Placer {
+// New returns a placer without servers and jobs. Whole tells that TakeOver will
+// name all servers that the placer before has used.
+func New(epoch uint64, whole bool, now time.Time) *Placer {
 	return &Placer{
 		epoch:   epoch,
+		whole:   whole,
 		began:   now,
 		servers: map[string]*server{},
 		jobs:    map[string]*job{},
@@ -209,17 +212,17 @@
 			return false
 		}
 	}
-	return len(p.servers) > 0
+	return p.whole && len(p.servers) > 0
 }
 
-// expire ends jobs that can't end before their caller leaves.
+// expire refuses jobs that can't end while it is of use, and ends those whose
+// caller leaves.
 func (p *Placer) expire(now time.Time) {
 	for _, j := range p.jobs {
 		switch {
-		case now.Sub(j.Came) < j.Expires:
-		case j.began:
+		case j.began && now.Sub(j.Came) >= j.Expires:
 			p.end(j, model.JobEndUnknown, "the time of its caller is over", now)
-		default:
+		case !j.began && now.Sub(j.Came) >= j.useful():
 			p.end(j, model.JobEndRefused, "no backend server had room in time", now)
 		}
 	}
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -11,6 +11,11 @@
 // something.
 const lateFactor = 3
 
+// useful returns until when since it came a job has to begin to be of use.
+func (j *job) useful() time.Duration {
+	return min(lateFactor*j.Objective, j.Expires) - j.Demand.Expected
+}
+
 // enqueue puts a job among those that wait, by the latest start that meets its
 // objective.
 func (p *Placer) enqueue(j *job) {
--- a/runs/server.go
+++ b/runs/server.go
@@ -11,6 +11,7 @@
 	lookRetry    = 100 * time.Millisecond  // between looks at a server that doesn't answer
 	stopRetry    = 200 * time.Millisecond  // between stops that got no answer
 	seenWithin   = 2500 * time.Millisecond // a server that nobody heard of for longer gets no task: one report may be lost
+	spreadTime   = 500 * time.Millisecond  // before a new server gets a task: the next placer has to know of it
 	roomPause    = 40 * time.Millisecond   // for a server that had no room
 	unwellPause  = 500 * time.Millisecond  // for a server that says it is unhealthy
 	silencePause = 500 * time.Millisecond  // for a server that left an order unanswered
@@ -19,6 +20,7 @@
 // server is a backend server as the placer knows it.
 type server struct {
 	model.Server
+	found  time.Time       // first report, zero when an earlier placer used it
 	heard  time.Time       // last report or answer
 	known  bool            // looked at under this epoch
 	silent bool            // the last look got no answer
@@ -63,6 +65,13 @@
 	stateStopped  // until its end is listed
 )
 
+// TakeOver notes the servers of the placer before.
+func (p *Placer) TakeOver(servers []model.Server, now time.Time) {
+	for _, m := range servers {
+		p.servers[m.Name] = &server{Server: m, heard: now, runs: map[string]*run{}}
+	}
+}
+
 // Report notes what a server says of itself.
 func (p *Placer) Report(m model.Server, now time.Time) {
 	s, ok := p.servers[m.Name]
@@ -70,7 +79,7 @@
 	case !ok && m.Left:
 		return
 	case !ok:
-		s = &server{Server: m, runs: map[string]*run{}}
+		s = &server{Server: m, found: now, runs: map[string]*run{}}
 		p.servers[m.Name] = s
 		p.event(Event{Kind: EventFound, Server: m.Name})
 	case m.Left:
@@ -170,7 +179,7 @@
 
 // usable tells whether the server may get a task now.
 func (s *server) usable(now time.Time) bool {
-	return s.known && !s.silent && !s.Draining && now.Sub(s.heard) < seenWithin &&
+	return s.known && now.Sub(s.found) >= spreadTime && !s.silent && !s.Draining && now.Sub(s.heard) < seenWithin &&
 		!now.Before(s.pausedUntil) && s.health.allows(len(s.runs), now)
 }
 
