--- /dev/null
+++ b/entry/node_test.go
@@ -0,0 +1,206 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
+	"dogwoodrock.example/dogwoodrock/msgs"
+	"dogwoodrock.example/dogwoodrock/routes"
+)
+
+// fixture is a node whose messages and answers are recorded.
+type fixture struct {
+	*Node
+	now     time.Time
+	sent    []msgs.Envelope
+	answers []Outcome
+}
+
+func newFixture() *fixture {
+	f := &fixture{now: time.Unix(1000, 0)}
+	f.Node = &Node{
+		Config: Config{Self: "h1", DataCentre: "a", Incarnation: 3, Capacity: 300, Seeds: []string{"c1", "c2"}},
+		Parse: func(source []byte) (routes.Document, error) {
+			if string(source) == "bad" {
+				return routes.Document{}, &routes.InvalidError{Field: "Routes"}
+			}
+			return routes.Document{
+				Routes:   []routes.Route{{Name: "r", Authority: "x.example", Prefix: "/" + string(source) + "/", Service: "s", Attempts: 2, SlackFactor: 1.6, Objective: 60 * time.Millisecond}},
+				Services: []routes.Service{{Name: "s"}},
+			}, nil
+		},
+		Hooks: Hooks{
+			InForce: func(uint64) {}, Rejected: func(uint64, error) {}, Placed: func(model.Placement) {},
+			Core: func(bool, string) {}, Placer: func(bool, string, uint64) {},
+			Taken:    func(Submit, routes.Route, string, uint64) {},
+			Rehanded: func(string, string, uint64) {}, Answered: func(string, string, Outcome, time.Duration) {}, Left: func(string, time.Duration) {},
+		},
+		Send: func(to, service string, body any) error {
+			f.sent = append(f.sent, msgs.Envelope{To: to, Service: service, Body: body})
+			return nil
+		},
+		Now: func() time.Time { return f.now },
+	}
+	f.Start()
+	return f
+}
+
+func (f *fixture) tell(version uint64, source string, placements ...model.Placement) {
+	m := msgs.HostRenewed{Host: "c1", Leader: "c1", Members: []string{"c1", "c2"}, Placements: placements}
+	if version > 0 {
+		m.Routes = &model.RoutesText{Version: version, Source: []byte(source)}
+	}
+	f.Handle(m)
+}
+
+func (f *fixture) submitJob(job, path string) {
+	f.Handle(Submit{
+		Authority: "x.example", Path: path, Job: job, Patience: 2 * time.Second, Waiter: 1,
+		Spec:  Spec{Text: "t", Tasks: 2, Demand: model.Demand{CPU: 100, Expected: 100 * time.Millisecond}},
+		Reply: func(o Outcome) { f.answers = append(f.answers, o) },
+	})
+}
+
+func (f *fixture) hands() []msgs.JobHand {
+	var list []msgs.JobHand
+	for _, e := range f.sent {
+		if m, ok := e.Body.(msgs.JobHand); ok {
+			m.Host = e.To // the placer, for the tests
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// wait lets time pass in ticks.
+func (f *fixture) wait(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tick) {
+		f.Tick()
+	}
+}
+
+var (
+	placedA  = model.Placement{DataCentre: "a", Host: "p1", Incarnation: 1, Epoch: 4}
+	placedA2 = model.Placement{DataCentre: "a", Host: "p2", Incarnation: 1, Epoch: 6}
+	placedB  = model.Placement{DataCentre: "b", Host: "q1", Incarnation: 1, Epoch: 5}
+)
+
+func TestSubmit(t *testing.T) {
+	tests := map[string]struct {
+		act  func(f *fixture)
+		want []Kind // answers
+		to   []string
+		age  bool // the last hand says that an earlier placer may have started the job
+	}{
+		"no routes yet": {act: func(f *fixture) { f.submitJob("j", "/v/j") }, want: []Kind{KindNotReady}},
+		"no such route": {act: func(f *fixture) { f.tell(2, "v", placedA); f.submitJob("j", "/w/j") }, want: []Kind{KindNoRoute}},
+		"no placer":     {act: func(f *fixture) { f.tell(2, "v"); f.submitJob("j", "/v/j") }, want: []Kind{KindRefused}},
+		"handed over":   {act: func(f *fixture) { f.tell(2, "v", placedA); f.submitJob("j", "/v/j") }, to: []string{"p1"}},
+		"an older version doesn't come into force": {act: func(f *fixture) {
+			f.tell(5, "v", placedA)
+			f.tell(4, "w")
+			f.submitJob("j", "/v/j")
+		}, to: []string{"p1"}},
+		"routes that can't be read don't come into force": {act: func(f *fixture) {
+			f.tell(5, "v", placedA)
+			f.tell(6, "bad")
+			f.submitJob("j", "/v/j")
+		}, to: []string{"p1"}},
+		"complete": {act: func(f *fixture) {
+			f.tell(2, "v", placedA)
+			f.submitJob("j", "/v/j")
+			f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndComplete})
+		}, to: []string{"p1"}, want: []Kind{KindComplete}},
+		"a resend joins the open job": {act: func(f *fixture) {
+			f.tell(2, "v", placedA)
+			f.submitJob("j", "/v/j")
+			f.submitJob("j", "/v/j")
+			f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndFailed})
+		}, to: []string{"p1"}, want: []Kind{KindFailed}},
+		"a new placer gets the open jobs": {act: func(f *fixture) {
+			f.tell(2, "v", placedA)
+			f.submitJob("j", "/v/j")
+			f.tell(0, "", placedA2)
+		}, to: []string{"p1", "p2"}, age: true},
+		"a refusal of the placer before is ignored": {act: func(f *fixture) {
+			f.tell(2, "v", placedA)
+			f.submitJob("j", "/v/j")
+			f.tell(0, "", placedA2)
+			f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndRefused})
+		}, to: []string{"p1", "p2"}, age: true},
+		"the second placer can't say that nothing ran": {act: func(f *fixture) {
+			f.tell(2, "v", placedA)
+			f.submitJob("j", "/v/j")
+			f.tell(0, "", placedA2)
+			f.Handle(msgs.JobEnded{Job: "j", Host: "p2", Epoch: 6, State: model.JobEndRefused})
+		}, to: []string{"p1", "p2"}, want: []Kind{KindUnknown}, age: true},
+		"an earlier epoch is ignored": {act: func(f *fixture) {
+			f.tell(2, "v", placedA2)
+			f.tell(0, "", placedA)
+			f.submitJob("j", "/v/j")
+		}, to: []string{"p2"}},
+		"a silent placer gets no new jobs": {act: func(f *fixture) {
+			f.tell(2, "v", placedA, placedB)
+			f.wait(placerSilence + 2*pulseInterval)
+			f.submitJob("j", "/v/j")
+		}, to: []string{"q1"}},
+		"a job that its placer doesn't end is answered": {act: func(f *fixture) {
+			f.tell(2, "v", placedA)
+			f.submitJob("j", "/v/j")
+			f.wait(3 * time.Second)
+		}, to: []string{"p1"}, want: []Kind{KindUnknown}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			tt.act(f)
+			var got []Kind
+			for _, o := range f.answers {
+				got = append(got, o.Kind)
+				if o.Kind == KindRefused && o.RetryAfter <= 0 {
+					t.Errorf("a refusal doesn't say when to come back")
+				}
+			}
+			if len(got) != len(tt.want) || (len(got) > 0 && got[0] != tt.want[0]) {
+				t.Errorf("answers %v, want %v", got, tt.want)
+			}
+			hands := f.hands()
+			if len(hands) != len(tt.to) {
+				t.Fatalf("%d hands, want %d", len(hands), len(tt.to))
+			}
+			for i, h := range hands {
+				if h.Host != tt.to[i] {
+					t.Errorf("hand %d to %s, want %s", i, h.Host, tt.to[i])
+				}
+				if last := i == len(hands)-1; last && h.Again != tt.age {
+					t.Errorf("again %v, want %v", h.Again, tt.age)
+				}
+			}
+		})
+	}
+}
+
+func TestRenew(t *testing.T) {
+	f := newFixture()
+	f.wait(300 * time.Millisecond)
+	asked := map[string]int{}
+	for _, e := range f.sent {
+		if _, ok := e.Body.(msgs.HostRenew); ok {
+			asked[e.To]++
+		}
+	}
+	if asked["c1"] != 2 || asked["c2"] != 2 {
+		t.Fatalf("renewals %v while no leader is known, want 2 to each seed", asked)
+	}
+	f.tell(3, "v", placedA)
+	f.sent = nil
+	f.wait(fleetRenewals)
+	for _, e := range f.sent {
+		if m, ok := e.Body.(msgs.HostRenew); ok && (e.To != "c1" || m.Routes != 3 || m.Epoch != 4) {
+			t.Fatalf("renewal %+v to %s, want the version and epoch to the leader", m, e.To)
+		}
+	}
+}
+
+const fleetRenewals = 400 * time.Millisecond
--- /dev/null
+++ b/fleet/book_test.go
@@ -0,0 +1,60 @@
+package fleet
+
+import (
+	"reflect"
+	"testing"
+
+	"dogwoodrock.example/dogwoodrock/model"
+)
+
+func put(version uint64) Command {
+	return Command{Kind: KindRoutes, Routes: &model.RoutesText{Version: version, Source: []byte{byte(version)}}}
+}
+
+func place(dc, host string) Command {
+	return Command{Kind: KindPlace, Placement: &model.Placement{DataCentre: dc, Host: host, Incarnation: 7}}
+}
+
+func TestBook(t *testing.T) {
+	tests := map[string]struct {
+		commands []Command
+		version  uint64
+		epochs   map[string]uint64
+		former   map[string]uint64
+	}{
+		"the highest version wins": {commands: []Command{put(3), put(9), put(4)}, version: 9},
+		"other content under the version held changes nothing": {
+			commands: []Command{put(3), {Kind: KindRoutes, Routes: &model.RoutesText{Version: 3, Source: []byte{99}}}},
+			version:  3,
+		},
+		"a read changes nothing": {commands: []Command{put(3), {Kind: KindRead}}, version: 3},
+		"epochs rise over all data centres": {
+			commands: []Command{place("a", "h1"), place("b", "h2"), place("a", "h3")},
+			epochs:   map[string]uint64{"a": 3, "b": 2},
+			former:   map[string]uint64{"a": 1, "b": 0},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := NewBook()
+			for _, c := range tt.commands {
+				b.Apply(c)
+			}
+			b = Restore(b.Snapshot())
+			if got := b.Routes(); got.Version != tt.version || (got.Version > 0 && got.Source[0] != byte(got.Version)) {
+				t.Errorf("routes %+v, want version %d as it was put first", got, tt.version)
+			}
+			for _, p := range b.Placements() {
+				if p.Epoch != tt.epochs[p.DataCentre] || p.Former != tt.former[p.DataCentre] {
+					t.Errorf("placement %+v, want epoch %d after %d", p, tt.epochs[p.DataCentre], tt.former[p.DataCentre])
+				}
+			}
+			if got := len(b.Placements()); got != len(tt.epochs) {
+				t.Errorf("%d placements, want %d", got, len(tt.epochs))
+			}
+			if next := b.Apply(place("z", "h")); !next.Changed || !reflect.DeepEqual(next.Routes, b.Routes()) {
+				t.Errorf("result %+v", next)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/fleet/watch_test.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
+	"dogwoodrock.example/dogwoodrock/msgs"
+)
+
+// step is something that happens to a Watch at a time since its start.
+type step struct {
+	at    time.Duration
+	renew msgs.HostRenew
+}
+
+// renewals returns the renewals of a host from one time to another.
+func renewals(from, to time.Duration, m msgs.HostRenew) []step {
+	var steps []step
+	for at := from; at <= to; at += RenewInterval {
+		steps = append(steps, step{at: at, renew: m})
+	}
+	return steps
+}
+
+func host(name string, capacity int64) msgs.HostRenew {
+	return msgs.HostRenew{Host: name, Incarnation: 1, DataCentre: "dc", Capacity: capacity}
+}
+
+func TestWatch(t *testing.T) {
+	placed := []model.Placement{{DataCentre: "dc", Host: "h1", Incarnation: 1, Epoch: 5}}
+	leaving, restarted := host("h1", 900), host("h1", 900)
+	leaving.Leaving, restarted.Incarnation = true, 2
+	suspects := host("h2", 300)
+	suspects.Suspect = "h1"
+	both := slices.Concat(renewals(0, 2*time.Second, host("h1", 900)), renewals(0, 2*time.Second, host("h2", 300)))
+	tests := map[string]struct {
+		steps   []step
+		current []model.Placement
+		at      time.Duration
+		want    string // host that is placed anew, empty for no change
+	}{
+		"a new leader only listens":              {steps: both[:1], at: 100 * time.Millisecond},
+		"the host with the most processor time":  {steps: both, at: 2 * time.Second, want: "h1"},
+		"a placer that renews goes on":           {steps: both, current: placed, at: 2 * time.Second},
+		"a placer that missed two renewals":      {steps: slices.Concat(renewals(0, time.Second, host("h1", 900)), renewals(0, 1400*time.Millisecond, host("h2", 300))), current: placed, at: 1500 * time.Millisecond},
+		"a silent placer is superseded":          {steps: slices.Concat(renewals(0, time.Second, host("h1", 900)), renewals(0, 2*time.Second, host("h2", 300))), current: placed, at: 2 * time.Second, want: "h2"},
+		"one that others can't reach, sooner":    {steps: slices.Concat(renewals(0, time.Second, host("h1", 900)), renewals(0, 1400*time.Millisecond, suspects)), current: placed, at: 1400 * time.Millisecond, want: "h2"},
+		"one that others suspect but that lives": {steps: slices.Concat(renewals(0, 2*time.Second, host("h1", 900)), renewals(0, 2*time.Second, suspects)), current: placed, at: 2 * time.Second},
+		"a planned stop hands over":              {steps: slices.Concat(both, []step{{at: 2 * time.Second, renew: leaving}}), current: placed, at: 2 * time.Second, want: "h2"},
+		"a restarted placer is placed anew":      {steps: slices.Concat(both, []step{{at: 2 * time.Second, renew: restarted}}), current: placed, at: 2 * time.Second, want: "h1"},
+		"nobody is there to take over":           {steps: renewals(0, time.Second, host("h1", 900)), current: placed, at: 3 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			w := NewWatch(start)
+			for _, s := range tt.steps {
+				w.Renew(s.renew, start.Add(s.at))
+			}
+			got := ""
+			for _, p := range w.Decide(tt.current, start.Add(tt.at)) {
+				got = p.Host
+			}
+			if got != tt.want {
+				t.Fatalf("placed %q, want %q", got, tt.want)
+			}
+			if again := w.Decide(tt.current, start.Add(tt.at+10*time.Millisecond)); len(again) != 0 {
+				t.Fatalf("decided %v again before the first could commit", again)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/runs/world_test.go
@@ -0,0 +1,392 @@
+package runs
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
+)
+
+// world plays backend servers and a network against placers in simulated time.
+type world struct {
+	t       *testing.T
+	rng     *rand.Rand
+	now     time.Time
+	queue   eventQueue
+	seq     int
+	servers map[string]*simServer
+	trouble trouble
+	ended   map[string]model.JobEnd
+	twice   string
+	starts  int
+}
+
+// trouble is how likely each thing is that goes wrong.
+type trouble struct {
+	lost float64 // an order or its answer
+	late float64 // an order is carried out seconds later, without an answer
+	fail float64 // a task fails
+	cut  bool    // servers are cut off for seconds
+	born bool    // servers restart under their name
+}
+
+type simEvent struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type eventQueue []simEvent
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+func newWorld(t *testing.T, seed uint64, tr trouble) *world {
+	return &world{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), trouble: tr,
+		servers: map[string]*simServer{}, ended: map[string]model.JobEnd{},
+	}
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, simEvent{at: w.now.Add(d), seq: w.seq, do: do})
+}
+
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		e := heap.Pop(&w.queue).(simEvent)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+func (w *world) chance(p float64) bool { return w.rng.Float64() < p }
+
+func (w *world) delay() time.Duration {
+	return 100*time.Microsecond + time.Duration(w.rng.IntN(1500))*time.Microsecond
+}
+
+// simServer is a backend server as the protocol describes it.
+type simServer struct {
+	w       *world
+	report  model.Server
+	rate    float64 // of its clock
+	epoch   time.Time
+	base    int64
+	fence   uint64
+	lease   int64
+	runs    map[string]*simRun
+	barred  map[string]int // highest run stopped or ended, by task
+	ends    []Ended
+	n       uint64
+	cut     bool
+	speed   float64
+	waiting []func()
+}
+
+type simRun struct {
+	number int
+	life   int
+}
+
+func (w *world) addServer(name, kind string, speed float64) *simServer {
+	s := &simServer{w: w, speed: speed, rate: 0.98 + 0.04*w.rng.Float64()}
+	s.report = model.Server{
+		Name: name, Address: name, DataCentre: "dc", Service: "svc", CPU: 16000, MemoryMB: 65536, Labels: []string{kind, "rack"},
+	}
+	w.servers[name] = s
+	s.boot()
+	return s
+}
+
+// boot starts a new process under the name of the server.
+func (s *simServer) boot() {
+	s.report.Born = s.w.now.UnixMilli()
+	s.report.Seq = 1
+	s.epoch, s.base = s.w.now, int64(1000+s.w.rng.IntN(100000))
+	s.fence, s.lease, s.n, s.ends = 0, 0, 0, nil
+	s.runs, s.barred = map[string]*simRun{}, map[string]int{}
+}
+
+func (s *simServer) clock() int64 {
+	return s.base + int64(s.rate*float64(s.w.now.Sub(s.epoch).Milliseconds()))
+}
+
+// lapse kills everything once the lease is over.
+func (s *simServer) lapse() {
+	if len(s.runs) > 0 && s.clock() >= s.lease {
+		for task := range s.runs {
+			s.finish(task, HowLapsed)
+		}
+	}
+}
+
+func (s *simServer) prolong(deadline int64) {
+	s.lease = max(s.lease, min(deadline, s.clock()+1000))
+	s.w.after(time.Duration(float64(s.lease-s.clock()+1)/s.rate)*time.Millisecond+time.Millisecond, s.lapse)
+}
+
+func (s *simServer) finish(task string, how How) {
+	r := s.runs[task]
+	delete(s.runs, task)
+	s.barred[task] = max(s.barred[task], r.number)
+	s.n++
+	s.ends = append(s.ends, Ended{N: s.n, Task: task, Run: r.number, How: how})
+	waiting := s.waiting
+	s.waiting = nil
+	for _, wake := range waiting {
+		wake()
+	}
+}
+
+func (s *simServer) start(o Start) Outcome {
+	s.lapse()
+	switch {
+	case o.Fence < s.fence:
+		return OutcomeFenced
+	case o.Deadline < s.clock():
+		return OutcomeLate
+	}
+	s.fence = o.Fence
+	if r, ok := s.runs[o.Task]; ok && r.number == o.Run {
+		return OutcomeTaken
+	}
+	if o.Run <= s.barred[o.Task] {
+		return OutcomeOld
+	}
+	s.prolong(o.Deadline)
+	s.w.starts++
+	s.w.checkTwice(o.Task)
+	r := &simRun{number: o.Run, life: s.w.rng.Int()}
+	s.runs[o.Task] = r
+	how := HowDone
+	if s.w.chance(s.w.trouble.fail) {
+		how = HowFailed
+	}
+	born := s.report.Born
+	took := time.Duration(float64(100+s.w.rng.IntN(200))/s.speed) * time.Millisecond
+	s.w.after(took, func() {
+		if cur, ok := s.runs[o.Task]; ok && cur == r && s.report.Born == born {
+			s.finish(o.Task, how)
+		}
+	})
+	return OutcomeTaken
+}
+
+func (w *world) checkTwice(task string) {
+	for name, s := range w.servers {
+		if r, ok := s.runs[task]; ok && w.twice == "" {
+			w.twice = fmt.Sprintf("%s begins at %s while run %d is on %s", task, w.now.Format("05.000"), r.number, name)
+		}
+	}
+}
+
+func (s *simServer) stop(o Stop) Outcome {
+	if o.Fence < s.fence {
+		return OutcomeFenced
+	}
+	s.fence = o.Fence
+	s.barred[o.Task] = max(s.barred[o.Task], o.Run)
+	if r, ok := s.runs[o.Task]; ok && r.number <= o.Run {
+		s.w.after(time.Duration(s.w.rng.IntN(50))*time.Millisecond, func() {
+			if cur, ok := s.runs[o.Task]; ok && cur == r {
+				s.finish(o.Task, HowStopped)
+			}
+		})
+	}
+	return OutcomeTaken
+}
+
+func (s *simServer) hold(o Look) Outcome {
+	s.lapse()
+	if o.Fence < s.fence {
+		return OutcomeFenced
+	}
+	s.fence = o.Fence
+	if o.Deadline > 0 {
+		s.prolong(o.Deadline)
+	}
+	for len(s.ends) > 0 && s.ends[0].N <= o.Cursor {
+		s.ends = s.ends[1:]
+	}
+	return OutcomeTaken
+}
+
+func (s *simServer) seen(o Look, sent time.Time) Seen {
+	m := Seen{Server: o.Server.Name, Born: s.report.Born, Seq: o.Seq, Outcome: OutcomeTaken, Clock: s.clock(), Sent: sent}
+	for task, r := range s.runs {
+		m.Active = append(m.Active, Listed{Task: task, Run: r.number, CPU: 100})
+	}
+	m.Ended = append(m.Ended, s.ends...)
+	return m
+}
+
+// simPlacer drives one placer, as the service of package placer does.
+type simPlacer struct {
+	w      *world
+	p      *Placer
+	frozen bool
+	dead   bool
+	late   []func()
+}
+
+func (w *world) newPlacer(epoch uint64) *simPlacer {
+	sp := &simPlacer{w: w, p: New(epoch, true, w.now)}
+	var table []model.Server
+	for _, s := range w.servers {
+		table = append(table, s.report)
+	}
+	sp.p.TakeOver(table, w.now)
+	sp.tick()
+	sp.beat()
+	return sp
+}
+
+func (sp *simPlacer) tick() {
+	if sp.dead {
+		return
+	}
+	sp.do(func() { sp.p.Tick(sp.w.now) })
+	sp.w.after(20*time.Millisecond, sp.tick)
+}
+
+func (sp *simPlacer) beat() {
+	for _, s := range sp.w.servers {
+		s.report.Seq++
+		if report := s.report; !s.cut {
+			sp.do(func() { sp.p.Report(report, sp.w.now) })
+		}
+	}
+	if !sp.dead {
+		sp.w.after(1500*time.Millisecond, sp.beat)
+	}
+}
+
+// do hands something to the placer, later if it is frozen.
+func (sp *simPlacer) do(f func()) {
+	switch {
+	case sp.dead:
+	case sp.frozen:
+		sp.late = append(sp.late, f)
+	default:
+		f()
+		sp.carryOut()
+	}
+}
+
+func (sp *simPlacer) thaw() {
+	sp.frozen = false
+	for _, f := range sp.late {
+		sp.do(f)
+	}
+	sp.late = nil
+}
+
+func (sp *simPlacer) carryOut() {
+	out := sp.p.Drain(sp.w.now)
+	for _, o := range out.Starts {
+		sp.order(o.Server.Name, func(s *simServer) Outcome { return s.start(o) }, func(a Outcome, clock int64) {
+			sp.p.Started(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Outcome: a, Clock: clock}, sp.w.now)
+		})
+	}
+	for _, o := range out.Stops {
+		sp.order(o.Server.Name, func(s *simServer) Outcome { return s.stop(o) }, func(a Outcome, clock int64) {
+			sp.p.Stopped(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Outcome: a, Clock: clock}, sp.w.now)
+		})
+	}
+	for _, o := range out.Looks {
+		sp.look(o)
+	}
+	for _, e := range out.Ends {
+		sp.w.ended[e.Job] = e.State
+	}
+	if out.Fenced {
+		sp.dead = true
+	}
+}
+
+// order sends an order; it may get lost on either way or be carried out late.
+func (sp *simPlacer) order(name string, carryOut func(*simServer) Outcome, answer func(Outcome, int64)) {
+	w := sp.w
+	unanswered := func() { w.after(160*time.Millisecond, func() { sp.do(func() { answer(OutcomeUnknown, 0) }) }) }
+	s := w.servers[name]
+	switch {
+	case s.cut || w.chance(w.trouble.lost):
+		unanswered()
+	case w.chance(w.trouble.late):
+		w.after(2*time.Second+time.Duration(w.rng.IntN(10000))*time.Millisecond, func() { carryOut(s) })
+		unanswered()
+	default:
+		w.after(w.delay(), func() {
+			outcome := carryOut(s)
+			clock := s.clock()
+			if s.cut || w.chance(w.trouble.lost) {
+				unanswered()
+				return
+			}
+			w.after(w.delay(), func() { sp.do(func() { answer(outcome, clock) }) })
+		})
+	}
+}
+
+func (sp *simPlacer) look(o Look) {
+	w := sp.w
+	sent := w.now
+	s := w.servers[o.Server.Name]
+	answered := false
+	reply := func(m Seen) {
+		if !answered {
+			answered = true
+			sp.do(func() { sp.p.Looked(m, w.now) })
+		}
+	}
+	unknown := Seen{Server: o.Server.Name, Seq: o.Seq, Outcome: OutcomeUnknown}
+	w.after(o.Wait+160*time.Millisecond, func() { reply(unknown) })
+	if s.cut || w.chance(w.trouble.lost) {
+		return
+	}
+	if w.chance(w.trouble.late) {
+		w.after(2*time.Second+time.Duration(w.rng.IntN(10000))*time.Millisecond, func() { s.hold(o) })
+		return
+	}
+	w.after(w.delay(), func() {
+		if outcome := s.hold(o); outcome != OutcomeTaken {
+			w.after(w.delay(), func() { reply(Seen{Server: o.Server.Name, Seq: o.Seq, Outcome: outcome}) })
+			return
+		}
+		done := false
+		send := func() {
+			if done || s.cut {
+				return
+			}
+			done = true
+			m := s.seen(o, sent)
+			w.after(w.delay(), func() { reply(m) })
+		}
+		if len(s.ends) > 0 || o.Wait == 0 {
+			send()
+			return
+		}
+		s.waiting = append(s.waiting, send)
+		w.after(o.Wait, send)
+	})
+}
