--- a/codec/envelope.go
+++ b/codec/envelope.go
@@ -103,6 +103,7 @@
 	register[msgs.ServerNoted, wire.Envelope_ServerNoted]()
 	register[msgs.CoreJoin, wire.Envelope_CoreJoin]()
 	register[msgs.CoreJoined, wire.Envelope_CoreJoined]()
+	register[msgs.CoreFound, wire.Envelope_CoreFound]()
 }
 
 // ToWire translates a message for a service. It returns a BodyError when the
--- a/core/hosts.go
+++ b/core/hosts.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -60,18 +61,57 @@
 	slices.Sort(hosts)
 	for _, host := range slices.Compact(hosts) {
 		if host != n.Self {
-			_ = n.Send(host, msgs.ServiceCore, msgs.CoreJoin{Host: n.Self}) // asked again
+			_ = n.Send(host, msgs.ServiceCore, msgs.CoreJoin{Host: n.Self, Founding: n.founders != nil}) // asked again
 		}
 	}
+	n.foundCore(now)
+}
+
+// foundCore begins the core with all hosts that have asked to. Only the first of
+// the seeds does, so that there is one list of members.
+func (n *Node) foundCore(now time.Time) {
+	if n.founders == nil || now.Before(n.foundAt) || n.Self != slices.Min(n.Seeds) || !n.seedsAsk() {
+		return
+	}
+	members := slices.Sorted(maps.Keys(n.founders))
+	for _, host := range members {
+		if host != n.Self {
+			_ = n.Send(host, msgs.ServiceCore, msgs.CoreFound{Members: members}) // a host that asks again is told again
+		}
+	}
+	n.found(members)
+}
+
+// seedsAsk tells whether all seeds want to found the core.
+func (n *Node) seedsAsk() bool {
+	for _, seed := range n.Seeds {
+		if !n.founders[seed] {
+			return false
+		}
+	}
+	return true
+}
+
+// found takes part in a core that begins.
+func (n *Node) found(members []string) {
+	if n.replica == nil && n.founders != nil && slices.Contains(members, n.Self) {
+		n.takePart(members)
+	}
 }
 
 func (n *Node) join(m msgs.CoreJoin, now time.Time) {
 	reply := msgs.CoreJoined{Host: n.Self, Leader: n.leader, Members: n.members, Slot: -1, Placements: n.placements()}
 	if n.replica == nil {
+		if m.Founding && n.founders != nil {
+			n.founders[m.Host] = true
+		}
 		return
 	}
 	status := n.replica.Status(now)
 	if status.Recovering {
+		if m.Founding && n.founders != nil && slices.Contains(n.members, m.Host) {
+			_ = n.Send(m.Host, msgs.ServiceCore, msgs.CoreFound{Members: n.members}) // the host asks again
+		}
 		return
 	}
 	if n.watch != nil && !slices.Contains(n.members, m.Host) {
--- a/core/node.go
+++ b/core/node.go
@@ -12,14 +12,15 @@
 )
 
 const (
-	heartbeat     = 150 * time.Millisecond  // of an idle leader: three fit into a lease
-	lease         = 500 * time.Millisecond  // a leader that is cut off stops deciding after it
-	election      = 700 * time.Millisecond  // longer than a lease, so that a backup's promise has ended
+	heartbeat = 80 * time.Millisecond  // of an idle leader: three fit into a lease
+	lease = 280 * time.Millisecond  // a leader that is cut off stops deciding after it
+	election = 350 * time.Millisecond  // longer than a lease, so that a backup's promise has ended
 	driftShare    = 10                      // clocks drift apart by at most a tenth of a lease
 	snapshotEvery = 64                      // log entries; each holds a whole document
 	maxCommands   = 16                      // in one log entry
 	resendAfter   = 600 * time.Millisecond  // after which routes without effect seem lost: longer than a call of a link
 	joinInterval  = 300 * time.Millisecond  // between questions of a host that keeps no state
+	foundWait     = 1500 * time.Millisecond // in which all hosts of the core start and ask the seeds
 	lostAfter     = 1500 * time.Millisecond // of silence, a member may be replaced by a host that waits: two elections
 )
 
@@ -63,20 +64,22 @@
 	Random func() uint64
 	Send   func(to, service string, body any) error
 
-	replica *quorum.Replica // nil until the host takes part
-	log     *replog.Log[fleet.Command, fleet.Result]
-	book    *fleet.Book
-	watch   *fleet.Watch // nil while another host leads
-	leader  string       // as far as known
-	members []string
-	sent    map[string]sent
-	joinAt  time.Time
-	heard   map[string]time.Time // members, by the last message
-	failed  bool
-	noted   notes
-	others  []model.Placement // as told, while this host takes no part
-	drainBy time.Time         // set once a stop has begun
-	outside time.Time         // since when this host is no member, zero while it is
+	replica  *quorum.Replica // nil until the host takes part
+	log      *replog.Log[fleet.Command, fleet.Result]
+	book     *fleet.Book
+	watch    *fleet.Watch // nil while another host leads
+	leader   string       // as far as known
+	members  []string
+	sent     map[string]sent
+	joinAt   time.Time
+	heard    map[string]time.Time // members, by the last message
+	failed   bool
+	noted    notes
+	others   []model.Placement // as told, while this host takes no part
+	drainBy  time.Time         // set once a stop has begun
+	founders map[string]bool   // hosts that start for the first time too, nil on others
+	foundAt  time.Time
+	outside  time.Time // since when this host is no member, zero while it is
 }
 
 // sent is the routes document that a host was sent last.
@@ -102,8 +105,9 @@
 		if slices.Contains(members, n.Self) {
 			n.takePart(members, quorum.WithState(*n.Disk.Saved))
 		}
-	case n.Founding && slices.Contains(n.Seeds, n.Self):
-		n.takePart(slices.Sorted(slices.Values(n.Seeds)))
+	case n.Founding:
+		n.founders = map[string]bool{n.Self: true}
+		n.foundAt = n.Now().Add(foundWait)
 	}
 }
 
@@ -205,6 +209,8 @@
 		n.join(m, now)
 	case msgs.CoreJoined:
 		n.joined(m, now)
+	case msgs.CoreFound:
+		n.found(m.Members)
 	case msgs.ServerNoted:
 		n.noted.answered(m)
 	case Put:
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -53,8 +53,11 @@
 	Reply func(bool)
 }
 
-// Leave tells that a planned stop has begun.
-type Leave struct{}
+// Leave tells that a planned stop has begun, and when all requests have to be
+// answered.
+type Leave struct {
+	By time.Time
+}
 
 // Seeds tells a Node the seeds of newer settings.
 type Seeds struct {
@@ -99,6 +102,7 @@
 	came      time.Time
 	expires   time.Time
 	placement model.Placement
+	tried     map[string]bool // data centres that refused it, for their load
 	waiters   map[uint64]func(Outcome)
 }
 
@@ -126,8 +130,14 @@
 		m.Reply(refusal)
 		return
 	}
-	j := &openJob{came: now, waiters: map[uint64]func(Outcome){m.Waiter: m.Reply}}
+	j := &openJob{came: now, tried: map[string]bool{}, waiters: map[uint64]func(Outcome){m.Waiter: m.Reply}}
 	j.hand = n.handOf(m, route)
+	if n.leaving && now.Add(j.hand.Objective).After(n.leaveBy) {
+		refusal := Outcome{Kind: KindRefused, Reason: "this host is stopping", RetryAfter: model.LeastRetryAfter}
+		n.Hooks.Answered(m.Job, route.Name, refusal, 0)
+		m.Reply(refusal)
+		return
+	}
 	j.expires = now.Add(j.hand.Expires)
 	n.jobs[m.Job] = j
 	n.Hooks.Taken(m, route, p.Host, p.Epoch)
@@ -164,7 +174,7 @@
 		CPU: d.CPU, MemoryMB: d.MemoryMB, Accelerators: d.Accelerators, Expected: d.Expected,
 		Label: d.Label, PerServer: d.PerServer,
 		Priority: route.Priority, Attempts: max(route.Attempts, 1),
-		Objective: objective, Expires: expires,
+		Objective: objective, Expires: expires, Strict: true,
 	}
 }
 
@@ -193,6 +203,9 @@
 	case model.JobEndFailed:
 		out.Kind = KindFailed
 	case model.JobEndRefused:
+		if n.handElsewhere(j, now) {
+			return
+		}
 		out.Kind = KindRefused
 		if j.hand.Again {
 			out.Kind = KindUnknown // an earlier placer may have started it
@@ -203,6 +216,28 @@
 	n.answer(j, out, now)
 }
 
+// handElsewhere hands a job that its placer refused for its load to the next
+// data centre, and at last once more to its own, where it may end late.
+func (n *Node) handElsewhere(j *openJob, now time.Time) bool {
+	if j.hand.Again || !j.hand.Strict {
+		return false
+	}
+	j.tried[j.placement.DataCentre] = true
+	own, ok := n.placements[n.DataCentre]
+	for _, p := range n.others() {
+		if !j.tried[p.DataCentre] {
+			n.hand(j, p, false, now)
+			return true
+		}
+	}
+	if !ok || n.placers[own.Host].silent {
+		return false
+	}
+	j.hand.Strict = false
+	n.hand(j, own, false, now)
+	return true
+}
+
 func (n *Node) answer(j *openJob, out Outcome, now time.Time) {
 	delete(n.jobs, j.hand.Job)
 	n.Hooks.Answered(j.hand.Job, j.hand.Route, out, now.Sub(j.came))
@@ -211,10 +246,10 @@
 	}
 }
 
-// giveUp answers a job that its placer doesn't end.
-func (n *Node) giveUp(j *openJob, now time.Time) {
+// giveUp answers a job that its placer doesn't end in time.
+func (n *Node) giveUp(j *openJob, reason string, now time.Time) {
 	n.withdraw(j)
-	n.answer(j, Outcome{Kind: KindUnknown, Reason: "its placer has not told how it ended"}, now)
+	n.answer(j, Outcome{Kind: KindUnknown, Reason: reason}, now)
 }
 
 func (n *Node) withdraw(j *openJob) {
--- a/entry/node.go
+++ b/entry/node.go
@@ -64,6 +64,7 @@
 	heard   time.Time // of the core
 	reached bool
 	leaving bool
+	leaveBy time.Time
 	pulseAt time.Time
 }
 
@@ -116,7 +117,7 @@
 	case Ready:
 		m.Reply(n.ready())
 	case Leave:
-		n.leaving = true
+		n.leaving, n.leaveBy = true, m.By
 		n.renew(now)
 	case Seeds:
 		n.Seeds = m.Hosts
@@ -139,8 +140,11 @@
 		n.pulse(now)
 	}
 	for _, j := range n.jobs {
-		if now.After(j.expires.Add(answerSlack)) {
-			n.giveUp(j, now)
+		switch {
+		case now.After(j.expires.Add(answerSlack)):
+			n.giveUp(j, "its placer has not told how it ended", now)
+		case n.leaving && now.After(n.leaveBy):
+			n.giveUp(j, "this host stops before it has ended", now)
 		}
 	}
 }
@@ -268,12 +272,51 @@
 		s.silent = false
 		n.Hooks.Placer(true, m.Host, m.Epoch)
 	}
-	if n.placements[n.DataCentre].Host == m.Host && m.Table != nil {
-		n.servers, n.tableEpoch = m.Servers, m.Epoch
-		_ = n.Send(n.Self, msgs.ServicePlacer, placer.Table{Epoch: m.Epoch, Servers: m.Table}) // on this host
+	if n.placements[n.DataCentre].Host == m.Host {
+		n.learnTable(m, now)
 	}
 }
 
+// others returns the placers of other data centres that aren't known to be lost,
+// those after the own data centre first, so that hosts don't all turn to the same.
+func (n *Node) others() []model.Placement {
+	var list []model.Placement
+	for _, p := range n.placements {
+		if s := n.placers[p.Host]; p.DataCentre != n.DataCentre && !s.silent {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, func(a, b model.Placement) int {
+		if after := a.DataCentre > n.DataCentre; after != (b.DataCentre > n.DataCentre) {
+			return either(after, -1, 1)
+		}
+		return cmp.Compare(a.DataCentre, b.DataCentre)
+	})
+	return list
+}
+
+func either(first bool, a, b int) int {
+	if first {
+		return a
+	}
+	return b
+}
+
+// learnTable passes on what has changed in the table of backend servers, and
+// confirms it at once: the placer may use new servers then.
+func (n *Node) learnTable(m msgs.Pulsed, now time.Time) {
+	had := n.servers
+	if n.tableEpoch != m.Epoch {
+		had = 0
+	}
+	if m.Servers <= had || m.Since > had {
+		return
+	}
+	n.servers, n.tableEpoch = m.Servers, m.Epoch
+	_ = n.Send(n.Self, msgs.ServicePlacer, placer.Table{Epoch: m.Epoch, Whole: m.Since == 0, Servers: m.Table}) // on this host
+	n.pulse(now)
+}
+
 // placerFor returns the placer of the own data centre or, while that is lost,
 // another one. Which of them it is follows from the job, so that they share.
 func (n *Node) placerFor(job string) (model.Placement, bool) {
@@ -281,16 +324,10 @@
 	if ok && !n.placers[own.Host].silent {
 		return own, true
 	}
-	var others []model.Placement
-	for _, p := range n.placements {
-		if s := n.placers[p.Host]; p.DataCentre != n.DataCentre && !s.silent {
-			others = append(others, p)
-		}
-	}
+	others := n.others()
 	if len(others) == 0 {
 		return own, false
 	}
-	slices.SortFunc(others, func(a, b model.Placement) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
 	sum := 0
 	for _, c := range []byte(job) {
 		sum += int(c)
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -17,7 +17,7 @@
 
 	placerSilence  = 4 * RenewInterval      // after which a placer is superseded: one lost message and a late one are borne
 	suspectSilence = 3 * RenewInterval / 2  // the same for one that another host of its data centre can't reach
-	settleTime     = 3 * RenewInterval      // in which a new leader only listens, so that every host has renewed
+	settleTime = 11 * RenewInterval / 10  // in which a new leader only listens, so that every host has renewed
 	forgetAfter    = 20 * placerSilence     // after which a silent host is no longer listed
 	suspectFor     = 2 * RenewInterval      // how long a suspicion counts
 	placeRetry     = 500 * time.Millisecond // after which a placement that wasn't committed is proposed again
--- a/hosted/host.go
+++ b/hosted/host.go
@@ -191,9 +191,10 @@
 // Leave begins a planned stop: the host is not ready any more and hands over
 // what it places.
 func (h *Host) Leave() {
-	h.stopAt.Store(h.env.Now().UnixNano())
+	now := h.env.Now()
+	h.stopAt.Store(now.UnixNano())
 	h.stopping.Store(true)
-	h.post(msgs.ServiceEntry, entry.Leave{})
+	h.post(msgs.ServiceEntry, entry.Leave{By: now.Add(h.Settings.Grace - answerReserve)})
 }
 
 // Stopping tells whether a planned stop has begun.
--- a/msgs/envelope.go
+++ b/msgs/envelope.go
@@ -27,7 +27,7 @@
 // sent once and never repeated.
 func Ephemeral(body any) bool {
 	switch body.(type) {
-	case Renew, Lease, Hello, Load, Learned, BackendAnnounce, quorum.Message, HostRenew, HostRenewed, Pulse, Pulsed, ServerSeen, ServerNoted, CoreJoin, CoreJoined:
+	case Renew, Lease, Hello, Load, Learned, BackendAnnounce, quorum.Message, HostRenew, HostRenewed, Pulse, Pulsed, ServerSeen, ServerNoted, CoreJoin, CoreJoined, CoreFound:
 		return true
 	default:
 		return false
--- a/msgs/fleet.go
+++ b/msgs/fleet.go
@@ -50,6 +50,7 @@
 	Expires      time.Duration // since the job came, after which nobody waits for it
 	Label        string
 	PerServer    int
+	Strict       bool // to be refused unless it can meet its objective
 }
 
 // JobWithdraw tells the placer that nobody waits for the job any more.
@@ -80,8 +81,9 @@
 type Pulsed struct {
 	Host    string
 	Epoch   uint64 // 0 when the host places for no data centre
-	Servers uint64
-	Table   []model.Server // nil when the host has this version
+	Servers uint64         // version of the table of backend servers
+	Since   uint64         // version that Table begins from, 0 for a whole table
+	Table   []model.Server // that changed after Since
 }
 
 // ServerSeen passes a backend server's report on to its placer.
@@ -99,7 +101,13 @@
 
 // CoreJoin asks the core for its members and to become one, if one is lost.
 type CoreJoin struct {
-	Host string // that keeps no state of the core
+	Host     string // that keeps no state of the core
+	Founding bool   // the whole system starts for the first time
+}
+
+// CoreFound names the members of a core that begins.
+type CoreFound struct {
+	Members []string
 }
 
 // CoreJoined answers a CoreJoin.
--- a/peers/server.go
+++ b/peers/server.go
@@ -20,7 +20,7 @@
 	headerTimeout  = 5 * time.Second  // to read the head of a call
 	readTimeout    = 30 * time.Second // to read a whole call
 	idleConnection = 2 * time.Minute
-	dialTimeout    = 500 * time.Millisecond // the system itself goes on for minutes
+	dialTimeout    = 250 * time.Millisecond // a hundred round trips of a region; the system itself goes on for minutes
 )
 
 // Endpoint is the generated twirp server's view of the inbox.
--- a/placer/node.go
+++ b/placer/node.go
@@ -48,8 +48,9 @@
 	placer     *runs.Placer // nil while another host places
 	latest     model.Placement
 	servers    map[string]model.Server
-	version    uint64 // of servers
-	tableEpoch uint64 // of the placer that told servers
+	version    uint64            // of servers
+	changed    map[string]change // of servers, by name
+	tableEpoch uint64            // of the placer that told servers
 	hosts      map[string]*host
 	early      []early
 }
@@ -58,6 +59,8 @@
 type host struct {
 	incarnation uint64
 	seen        time.Time
+	has         uint64 // version of the table that the host has, 0 for none of this epoch
+	told        uint64 // and that it was sent
 }
 
 // early is a job that came before this host knew that it places.
@@ -75,6 +78,7 @@
 // entry host.
 type Table struct {
 	Epoch   uint64
+	Whole   bool // otherwise only what has changed
 	Servers []model.Server
 }
 
@@ -145,6 +149,7 @@
 			delete(n.hosts, name)
 		}
 	}
+	n.spread()
 	n.placer.Tick(now)
 	n.carryOut(now)
 }
@@ -162,6 +167,10 @@
 	n.placer = runs.New(p.Epoch, p.Former == n.tableEpoch, now)
 	n.tableEpoch = p.Epoch
 	n.placer.TakeOver(slices.Collect(maps.Values(n.servers)), now)
+	n.version, n.changed, n.hosts = 1, map[string]change{}, map[string]*host{}
+	for name, s := range n.servers {
+		n.changed[name] = change{version: 1, server: s}
+	}
 	n.Hooks.Began(p, len(n.servers))
 	waiting := n.early
 	n.early = nil
@@ -209,6 +218,7 @@
 		Came:      now.Add(-m.Age),
 		Objective: m.Objective,
 		Expires:   m.Expires,
+		Strict:    m.Strict,
 		Again:     m.Again || m.Epoch != n.placer.Epoch(), // an earlier process may have taken it
 	}, now)
 }
@@ -228,20 +238,6 @@
 	h.seen = now
 }
 
-func (n *Node) pulse(m msgs.Pulse, now time.Time) {
-	reply := msgs.Pulsed{Host: n.Self}
-	if n.placer != nil {
-		n.alive(m.Host, m.Incarnation, now)
-		reply.Epoch, reply.Servers = n.placer.Epoch(), n.version
-		if m.Servers != n.version || m.Epoch != reply.Epoch {
-			for _, s := range n.servers {
-				reply.Table = append(reply.Table, s)
-			}
-		}
-	}
-	_ = n.Send(m.Host, msgs.ServiceEntry, reply) // the host asks again
-}
-
 // beat notes a report of a backend server.
 func (n *Node) beat(s model.Server, now time.Time) Noted {
 	old, known := n.servers[s.Name]
@@ -257,6 +253,7 @@
 	}
 	if !known || s.Left || old.Born != s.Born || old.Draining != s.Draining || old.Address != s.Address {
 		n.version++
+		n.changed[s.Name] = change{version: n.version, server: s}
 	}
 	n.placer.Report(s, now)
 	return Noted{Taken: true}
@@ -267,8 +264,14 @@
 		return
 	}
 	n.tableEpoch = m.Epoch
-	clear(n.servers)
+	if m.Whole {
+		clear(n.servers)
+	}
 	for _, s := range m.Servers {
+		if s.Left {
+			delete(n.servers, s.Name)
+			continue
+		}
 		n.servers[s.Name] = s
 	}
 }
--- a/placer/orders.go
+++ b/placer/orders.go
@@ -10,9 +10,8 @@
 
 // callTime is how long a server may take to answer an order, and to answer a
 // look besides the time that it waits for an end. Servers answer within a few
-// milliseconds; a host that has used up its share of processor time stands still
-// for up to 100 ms.
-const callTime = 160 * time.Millisecond
+// milliseconds, and a start that is given up too soon costs a look only.
+const callTime = 60 * time.Millisecond
 
 // answered is the answer to an order, for the epoch that gave it.
 type answered struct {
--- /dev/null
+++ b/placer/table.go
@@ -0,0 +1,72 @@
+package placer
+
+import (
+	"math"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
+	"dogwoodrock.example/dogwoodrock/msgs"
+)
+
+// change is the last change of a server in the table.
+type change struct {
+	version uint64
+	server  model.Server
+}
+
+// pulse notes that an entry host lives, and which version of the table it has.
+func (n *Node) pulse(m msgs.Pulse, now time.Time) {
+	if n.placer == nil {
+		_ = n.Send(m.Host, msgs.ServiceEntry, msgs.Pulsed{Host: n.Self}) // the host asks again
+		return
+	}
+	n.alive(m.Host, m.Incarnation, now)
+	h := n.hosts[m.Host]
+	h.has = 0
+	if m.Epoch == n.placer.Epoch() {
+		h.has = m.Servers
+	}
+	n.known()
+	n.tell(m.Host, h)
+}
+
+// known lets the servers be used that all other hosts have in their tables: the
+// next placer would know of them.
+func (n *Node) known() {
+	least := uint64(math.MaxUint64)
+	for name, h := range n.hosts {
+		if name != n.Self {
+			least = min(least, h.has)
+		}
+	}
+	if least == math.MaxUint64 {
+		return
+	}
+	for name, c := range n.changed {
+		if c.version <= least {
+			n.placer.Spread(name)
+		}
+	}
+}
+
+// spread sends what has changed in the table to all entry hosts, without waiting
+// for their pulses.
+func (n *Node) spread() {
+	for name, h := range n.hosts {
+		if h.told != n.version && name != n.Self {
+			n.tell(name, h)
+		}
+	}
+}
+
+// tell answers a host with what has changed since the version that it has.
+func (n *Node) tell(name string, h *host) {
+	reply := msgs.Pulsed{Host: n.Self, Epoch: n.placer.Epoch(), Servers: n.version, Since: h.has}
+	for _, c := range n.changed {
+		if c.version > h.has {
+			reply.Table = append(reply.Table, c.server)
+		}
+	}
+	h.told = n.version
+	_ = n.Send(name, msgs.ServiceEntry, reply) // the host asks again
+}
--- /dev/null
+++ b/runs/admit.go
@@ -0,0 +1,77 @@
+package runs
+
+import (
+	"slices"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
+)
+
+// refuse returns why a job is refused at once, or nothing. It is for loads above
+// the capacity: a job that would wait too long is told so before it has waited,
+// while another data centre may have room or its caller can come back in time.
+func (p *Placer) refuse(j *job, now time.Time) string {
+	if j.Again {
+		return ""
+	}
+	limit, reason := j.useful(), "the work ahead of it takes too long"
+	if j.Strict {
+		limit, reason = j.Objective-j.Demand.Expected, "the work ahead of it takes too long for its objective"
+	}
+	if now.Add(p.wait(j, now)).Sub(j.Came) > limit {
+		return reason
+	}
+	return ""
+}
+
+// wait estimates how long a job waits for its last task to start: the work of
+// the jobs before it and its own, at the rate at which the servers work. Jobs
+// that can't meet their objective any more yield to it.
+func (p *Placer) wait(j *job, now time.Time) time.Duration {
+	rate, room := 0.0, int64(0)
+	for _, s := range p.servers {
+		if s.Service != j.Service || !s.usable(now) || !fits(j.Demand, s) {
+			continue
+		}
+		slots := s.slots(j.Demand)
+		rate += float64(slots) / p.speeds.factor(s)
+		room += max(slots-int64(len(s.runs)), 0)
+	}
+	ahead := time.Duration(0)
+	due := j.Came.Add(j.Objective - j.Demand.Expected)
+	for _, other := range p.waiting {
+		if other.Service == j.Service && !other.due.After(due) && !now.After(other.due) {
+			ahead += time.Duration(other.idle) * other.Demand.Expected
+		}
+	}
+	own := time.Duration(max(int64(j.Tasks)-room, 0)) * j.Demand.Expected
+	if ahead+own == 0 || rate == 0 {
+		return 0 // a placer that knows no server yet soon will
+	}
+	return time.Duration(float64(ahead+own) / rate)
+}
+
+// slots returns how many such tasks run on the server at the same time.
+func (s *server) slots(d model.Demand) int64 {
+	n := int64(1 << 20)
+	if d.CPU > 0 {
+		n = min(n, s.CPU/d.CPU)
+	}
+	if d.MemoryMB > 0 {
+		n = min(n, s.MemoryMB/d.MemoryMB)
+	}
+	if d.Accelerators > 0 {
+		n = min(n, s.Accelerators/d.Accelerators)
+	}
+	return n
+}
+
+// fits tells whether the server could ever run such a task.
+func fits(d model.Demand, s *server) bool {
+	return s.slots(d) > 0 && (d.Label == "" || slices.Contains(s.Labels, d.Label))
+}
+
+// retryAfter returns when the work that waits will be done.
+func (p *Placer) retryAfter(j *job, now time.Time) time.Duration {
+	return max(p.wait(j, now), model.LeastRetryAfter)
+}
--- a/runs/look.go
+++ b/runs/look.go
@@ -7,10 +7,13 @@
 // Looked takes the answer to a look.
 func (p *Placer) Looked(m Seen, now time.Time) {
 	s, ok := p.servers[m.Server]
-	if !ok || s.looking != m.Seq {
-		return
+	if !ok || m.Seq <= s.looked || (m.Outcome == OutcomeUnknown && m.Seq != s.looking) {
+		return // a later look has told more
+	}
+	if m.Seq == s.looking {
+		s.looking = 0
 	}
-	s.looking = 0
+	s.looked = m.Seq
 	switch m.Outcome {
 	case OutcomeTaken:
 	case OutcomeFenced:
@@ -27,7 +30,7 @@
 	if s.silent {
 		p.event(Event{Kind: EventAnswers, Server: s.Name})
 	}
-	s.silent, s.retryAt = false, time.Time{}
+	s.silent, s.retryAt, s.answered = false, time.Time{}, now
 	s.acked = s.told
 	if m.Born != 0 && m.Born != s.Born {
 		p.reborn(s, m.Born)
@@ -45,11 +48,15 @@
 }
 
 func (p *Placer) noAnswer(s *server, o Outcome, now time.Time) {
+	s.retryAt = now.Add(lookRetry)
+	if now.Sub(s.answered) < silentAfter {
+		return
+	}
 	if !s.silent {
 		p.event(Event{Kind: EventSilent, Server: s.Name, Reason: o.String()})
 	}
 	s.silent = true
-	s.retryAt = now.Add(lookRetry)
+	s.retryAt = now.Add(silentRetry)
 }
 
 // compare matches the runs that the server lists with those that are booked.
@@ -62,7 +69,7 @@
 			p.stray(s, a, first, now)
 			continue
 		}
-		if r.number == a.Run && r.state == stateStarting {
+		if r.number == a.Run && (r.state == stateStarting || r.state == stateDoubtful) {
 			r.state, r.began = stateRunning, now // the answer to its start is late
 		}
 	}
@@ -70,6 +77,10 @@
 		if listed[r.name] == r.number || r.checked.IsZero() || !m.Sent.After(r.checked) {
 			continue
 		}
+		if r.state == stateDoubtful {
+			p.stop(r, now) // its start may still arrive
+			continue
+		}
 		p.vanished(r, "not listed", now)
 	}
 }
--- a/runs/order.go
+++ b/runs/order.go
@@ -32,7 +32,7 @@
 	if a.Outcome != OutcomeUnknown {
 		s.learnClock(a.Clock, now)
 	}
-	if r.state != stateStarting {
+	if r.state != stateStarting && r.state != stateDoubtful {
 		if r.state == stateRunning && a.Outcome == OutcomeTaken {
 			r.checked = now
 		}
@@ -46,7 +46,8 @@
 		r.state, r.began, r.checked = stateRunning, now, now
 	case OutcomeUnknown:
 		s.pausedUntil = now.Add(silencePause)
-		p.stop(r, now)
+		r.state, r.checked = stateDoubtful, now
+		s.lookNow = true
 	default:
 		p.notStarted(s, r, a.Outcome, now)
 	}
@@ -109,6 +110,7 @@
 	case OutcomeTaken:
 		s.learnClock(a.Clock, now)
 		r.state, r.checked = stateStopped, now
+		s.lookNow = true
 	case OutcomeFenced:
 		p.out.Fenced = true
 	case OutcomeGone:
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -116,6 +116,11 @@
 		p.end(k, model.JobEndFailed, reason, now)
 		return
 	}
+	if refusal := p.refuse(k, now); refusal != "" {
+		p.jobs[j.ID] = k
+		p.end(k, model.JobEndRefused, refusal, now)
+		return
+	}
 	p.jobs[j.ID] = k
 	if j.Again && !p.settled {
 		p.again = append(p.again, k)
@@ -169,7 +174,7 @@
 func (p *Placer) end(j *job, state model.JobEnd, reason string, now time.Time) {
 	e := End{Job: j.ID, Host: j.Host, Route: j.Route, State: state, Reason: reason, Took: now.Sub(j.Came)}
 	if state == model.JobEndRefused {
-		e.RetryAfter = p.retryAfter(j)
+		e.RetryAfter = p.retryAfter(j, now)
 	}
 	p.out.Ends = append(p.out.Ends, e)
 	if state == model.JobEndComplete || state == model.JobEndFailed {
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -3,14 +3,18 @@
 import (
 	"slices"
 	"time"
-
-	"dogwoodrock.example/dogwoodrock/model"
 )
 
 // lateFactor is how many times its objective a job may take and still be worth
 // something.
 const lateFactor = 3
 
+const (
+	frugalMargin = 1.15 // times the expected run time that has to be left for a slower server
+	roughShare   = 0.5  // of the declared run time, by which it is commonly wrong
+	scarceShare  = 0.6  // of the room of a kind in use, above which it is scarce
+)
+
 // useful returns until when since it came a job has to begin to be of use.
 func (j *job) useful() time.Duration {
 	return min(lateFactor*j.Objective, j.Expires) - j.Demand.Expected
@@ -33,22 +37,38 @@
 	}
 }
 
-// pump starts tasks while servers have room: first of jobs that can still meet
-// their objective, then of the others.
+// pump starts tasks while servers have room: first of jobs that have begun, whose
+// work would be wasted otherwise, then of those that can meet their objective,
+// then of the others.
 func (p *Placer) pump(now time.Time) {
 	if len(p.waiting) == 0 {
 		return
 	}
-	for _, late := range []bool{false, true} {
-		for _, j := range slices.Clone(p.waiting) {
-			if now.After(j.due) == late {
-				p.place(j, now)
-			}
+	var turns [3][]*job
+	for _, j := range p.waiting {
+		turns[j.turn(now)] = append(turns[j.turn(now)], j)
+	}
+	for _, list := range turns {
+		for _, j := range list {
+			p.place(j, now)
 		}
 	}
 	p.waiting = slices.DeleteFunc(p.waiting, func(j *job) bool { return j.idle == 0 })
 }
 
+// turn returns the place of a job in the order of pump. What a job declares is
+// rough, so one that is a little late may still be on time.
+func (j *job) turn(now time.Time) int {
+	switch {
+	case j.began:
+		return 0
+	case !now.After(j.due.Add(time.Duration(roughShare * float64(j.Demand.Expected)))):
+		return 1
+	default:
+		return 2
+	}
+}
+
 // place starts what it can of a job's waiting tasks.
 func (p *Placer) place(j *job, now time.Time) {
 	for i := range j.tasks {
@@ -64,11 +84,13 @@
 	}
 }
 
-// choose returns the server with room on which the task ends first; among equals
-// the fullest, which leaves room for large tasks elsewhere.
+// choose returns the server with room on which the task ends first. While the
+// room of faster servers is scarce it is left to tasks that need it: a task gets
+// the slowest server on which its job still meets the objective.
 func (p *Placer) choose(t *task, now time.Time) *server {
-	var best *server
-	var least time.Duration
+	left := t.job.Came.Add(t.job.Objective).Sub(now)
+	var first, frugal *server
+	var least, most time.Duration
 	for _, s := range p.servers {
 		if s.Service != t.job.Service || !s.usable(now) || !s.hasRoom(t.job.Demand) || !p.allowed(t, s) {
 			continue
@@ -77,11 +99,32 @@
 		if s.Name == t.avoid {
 			expected *= standFactor
 		}
-		if best == nil || expected < least || (expected == least && better(s, best)) {
-			best, least = s, expected
+		if first == nil || expected < least || (expected == least && better(s, first)) {
+			first, least = s, expected
+		}
+		if time.Duration(frugalMargin*float64(expected)) > left {
+			continue
+		}
+		if frugal == nil || expected > most || (expected == most && better(s, frugal)) {
+			frugal, most = s, expected
 		}
 	}
-	return best
+	if frugal != nil && p.scarce(first) {
+		return frugal
+	}
+	return first
+}
+
+// scarce tells whether little room is left on servers of the kind.
+func (p *Placer) scarce(of *server) bool {
+	all, used := int64(0), int64(0)
+	for _, s := range p.servers {
+		if s.Service == of.Service && s.Kind() == of.Kind() {
+			all += s.CPU
+			used += s.used.CPU
+		}
+	}
+	return float64(used) > scarceShare*float64(all)
 }
 
 // better orders servers that are equally fast.
@@ -120,9 +163,7 @@
 			continue
 		}
 		seen = true
-		d := j.Demand
-		fits := d.CPU <= s.CPU && d.MemoryMB <= s.MemoryMB && d.Accelerators <= s.Accelerators
-		if fits && (d.Label == "" || slices.Contains(s.Labels, d.Label)) {
+		if fits(j.Demand, s) {
 			return ""
 		}
 	}
@@ -131,20 +172,3 @@
 	}
 	return "no backend server is large enough or has the label"
 }
-
-// retryAfter returns how long the work that waits will take.
-func (p *Placer) retryAfter(j *job) time.Duration {
-	work, rate := time.Duration(0), 0.0
-	for _, other := range p.waiting {
-		work += time.Duration(other.idle) * other.Demand.Expected
-	}
-	for _, s := range p.servers {
-		if s.Service == j.Service && j.Demand.CPU > 0 {
-			rate += float64(s.CPU/j.Demand.CPU) / p.speeds.factor(s)
-		}
-	}
-	if rate == 0 {
-		return time.Second
-	}
-	return max(time.Duration(float64(work)/rate), model.LeastRetryAfter)
-}
--- a/runs/server.go
+++ b/runs/server.go
@@ -8,19 +8,24 @@
 
 const (
 	lookWait     = 250 * time.Millisecond  // a look waits so long for an end: three fit into a lease
-	lookRetry    = 100 * time.Millisecond  // between looks at a server that doesn't answer
-	stopRetry    = 200 * time.Millisecond  // between stops that got no answer
+	lookLeast    = 20 * time.Millisecond   // a look waits at least so long, so that a run that is overdue isn't asked for all the time
+	lookSlack    = 10 * time.Millisecond   // after the expected end of a run
+	lookRetry    = 20 * time.Millisecond   // before a server that left a look unanswered is looked at again
+	silentRetry  = 100 * time.Millisecond  // the same once it is silent
+	silentAfter  = 350 * time.Millisecond  // without an answer, while looks fail, a server is silent: some looks in a row were lost
+	stopRetry    = 80 * time.Millisecond   // between stops that got no answer: longer than one may take
 	seenWithin   = 2500 * time.Millisecond // a server that nobody heard of for longer gets no task: one report may be lost
-	spreadTime   = 500 * time.Millisecond  // before a new server gets a task: the next placer has to know of it
+	spreadTime   = 500 * time.Millisecond  // after which a new server is used though no other host has confirmed that it knows of it
 	roomPause    = 40 * time.Millisecond   // for a server that had no room
 	unwellPause  = 500 * time.Millisecond  // for a server that says it is unhealthy
-	silencePause = 500 * time.Millisecond  // for a server that left an order unanswered
+	silencePause = 60 * time.Millisecond   // for a server that left an order unanswered, until a look tells more
 )
 
 // server is a backend server as the placer knows it.
 type server struct {
 	model.Server
-	found  time.Time       // first report, zero when an earlier placer used it
+	found  time.Time       // first report
+	spread bool            // the next placer would know of it
 	heard  time.Time       // last report or answer
 	known  bool            // looked at under this epoch
 	silent bool            // the last look got no answer
@@ -31,11 +36,14 @@
 	clockAt time.Time // when the answer that told it came
 	lease   int64     // end of the longest lease given, on the server's clock
 
-	cursor  uint64 // ends up to it are known
-	told    uint64 // the cursor of the last look
-	acked   uint64 // the cursor of the last look that was answered
-	looking uint64 // look in flight, 0 for none
-	retryAt time.Time
+	cursor   uint64    // ends up to it are known
+	told     uint64    // the cursor of the last look
+	acked    uint64    // the cursor of the last look that was answered
+	looking  uint64    // latest look in flight, 0 for none
+	looked   uint64    // latest look that was answered
+	lookNow  bool      // an order was left unanswered, or a stop answered
+	answered time.Time // last answer to a look
+	retryAt  time.Time
 
 	pausedUntil time.Time
 	health      health
@@ -60,6 +68,7 @@
 
 const (
 	stateStarting runState = iota
+	stateDoubtful          // its start got no answer; a look tells whether it runs
 	stateRunning
 	stateStopping // until its stop is answered
 	stateStopped  // until its end is listed
@@ -68,7 +77,14 @@
 // TakeOver notes the servers of the placer before.
 func (p *Placer) TakeOver(servers []model.Server, now time.Time) {
 	for _, m := range servers {
-		p.servers[m.Name] = &server{Server: m, heard: now, runs: map[string]*run{}}
+		p.servers[m.Name] = &server{Server: m, heard: now, spread: true, runs: map[string]*run{}}
+	}
+}
+
+// Spread tells that the next placer would know of a server.
+func (p *Placer) Spread(name string) {
+	if s, ok := p.servers[name]; ok {
+		s.spread = true
 	}
 }
 
@@ -179,7 +195,7 @@
 
 // usable tells whether the server may get a task now.
 func (s *server) usable(now time.Time) bool {
-	return s.known && now.Sub(s.found) >= spreadTime && !s.silent && !s.Draining && now.Sub(s.heard) < seenWithin &&
+	return s.known && (s.spread || now.Sub(s.found) >= spreadTime) && !s.silent && !s.Draining && now.Sub(s.heard) < seenWithin &&
 		!now.Before(s.pausedUntil) && s.health.allows(len(s.runs), now)
 }
 
@@ -209,18 +225,32 @@
 // have ends to be acknowledged, or that are not known yet.
 func (p *Placer) lookAround(now time.Time) {
 	for _, s := range p.servers {
-		if s.looking != 0 || now.Before(s.retryAt) {
-			continue
-		}
-		if len(s.runs) == 0 && s.known && !s.silent && s.acked == s.cursor {
+		idle := len(s.runs) == 0 && s.known && !s.silent && s.acked == s.cursor
+		if !s.lookNow && (idle || s.looking != 0 || now.Before(s.retryAt)) {
 			continue
 		}
 		p.seq++
-		s.looking, s.told = p.seq, s.cursor
 		look := Look{Server: s.Server, Seq: p.seq, Cursor: s.cursor, Fence: p.epoch, Deadline: s.grant(now)}
-		if len(s.runs) > 0 && !s.silent {
-			look.Wait = lookWait
+		if len(s.runs) > 0 && s.known && !s.silent && !s.lookNow {
+			look.Wait = s.nextEnd(now)
 		}
+		s.looking, s.told, s.lookNow = p.seq, s.cursor, false
 		p.out.Looks = append(p.out.Looks, look)
 	}
 }
+
+// nextEnd returns how long a look waits: until the next run should have ended,
+// so that a look that gets lost is missed soon after.
+func (s *server) nextEnd(now time.Time) time.Duration {
+	wait := lookWait
+	for _, r := range s.runs {
+		if r.state == stateStarting || r.state == stateRunning {
+			left := r.sent.Add(r.expected + lookSlack).Sub(now)
+			if left < 0 {
+				left = r.expected / 4 // it is overdue
+			}
+			wait = min(wait, left)
+		}
+	}
+	return max(wait, lookLeast).Truncate(time.Millisecond)
+}
--- a/runs/types.go
+++ b/runs/types.go
@@ -22,6 +22,7 @@
 	Objective   time.Duration // since Came, in which its end is worth most
 	Expires     time.Duration // since Came, after which nobody waits for it
 	Again       bool          // an earlier placer may have started it
+	Strict      bool          // to be refused unless it can meet its objective: another placer may
 }
 
 // Start orders a server to run a task.
--- a/runs/world_test.go
+++ b/runs/world_test.go
@@ -327,7 +327,7 @@
 // order sends an order; it may get lost on either way or be carried out late.
 func (sp *simPlacer) order(name string, carryOut func(*simServer) Outcome, answer func(Outcome, int64)) {
 	w := sp.w
-	unanswered := func() { w.after(160*time.Millisecond, func() { sp.do(func() { answer(OutcomeUnknown, 0) }) }) }
+	unanswered := func() { w.after(60*time.Millisecond, func() { sp.do(func() { answer(OutcomeUnknown, 0) }) }) }
 	s := w.servers[name]
 	switch {
 	case s.cut || w.chance(w.trouble.lost):
@@ -360,7 +360,7 @@
 		}
 	}
 	unknown := Seen{Server: o.Server.Name, Seq: o.Seq, Outcome: OutcomeUnknown}
-	w.after(o.Wait+160*time.Millisecond, func() { reply(unknown) })
+	w.after(o.Wait+60*time.Millisecond, func() { reply(unknown) })
 	if s.cut || w.chance(w.trouble.lost) {
 		return
 	}
