Leave fast servers to tasks that need them, and yield to higher priorities

Ruled out: late first starts (half within 2 ms).

Change: above 60 % of use a fast kind is left to tasks for which only it suffices, which also wait for it; the queue is ordered by latest start plus 80 ms a priority; run times count from the order when the start isn't answered yet.

--- a/runs/look.go
+++ b/runs/look.go
@@ -150,7 +150,7 @@
 	}
 	t.run = nil
 	t.job.running--
-	took := now.Sub(r.began)
+	took := now.Sub(r.startedAt())
 	p.event(Event{Kind: EventEnded, Job: t.job.ID, Task: t.name, Run: r.number, Server: s.Name, Reason: e.How.String(), Took: took, Expected: r.expected})
 	switch e.How {
 	case HowDone:
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -42,6 +42,7 @@
 	idle    int       // tasks that wait for a server
 	running int       // tasks with a run
 	due     time.Time // latest start that meets the objective
+	order   time.Time // place in the queue
 	began   bool      // a task was started
 }
 
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -10,9 +10,11 @@
 const lateFactor = 3
 
 const (
-	frugalMargin = 1.15 // times the expected run time that has to be left for a slower server
-	roughShare   = 0.5  // of the declared run time, by which it is commonly wrong
-	scarceShare  = 0.6  // of the room of a kind in use, above which it is scarce
+	frugalMargin = 1.3                   // times the expected run time that has to be left for a server to suffice: tasks of a job differ
+	roughShare   = 0.5                   // of the declared run time, by which it is commonly wrong
+	waitForFast  = 50 * time.Millisecond // that has to be left to wait for a faster server: one is free within a few
+	priorityStep = 80 * time.Millisecond // by which a job yields to one of the next priority: most objectives leave twice that
+	scarceShare  = 0.6                   // of the room of a kind in use, above which it is scarce
 )
 
 // useful returns until when since it came a job has to begin to be of use.
@@ -21,10 +23,11 @@
 }
 
 // enqueue puts a job among those that wait, by the latest start that meets its
-// objective.
+// objective, which counts as later the less its priority is.
 func (p *Placer) enqueue(j *job) {
 	j.due = j.Came.Add(j.Objective - j.Demand.Expected)
-	i, _ := slices.BinarySearchFunc(p.waiting, j, func(a, b *job) int { return a.due.Compare(b.due) })
+	j.order = j.due.Add(time.Duration(j.Priority) * priorityStep)
+	i, _ := slices.BinarySearchFunc(p.waiting, j, func(a, b *job) int { return a.order.Compare(b.order) })
 	p.waiting = slices.Insert(p.waiting, i, j)
 }
 
@@ -37,14 +40,13 @@
 	}
 }
 
-// pump starts tasks while servers have room: first of jobs that have begun, whose
-// work would be wasted otherwise, then of those that can meet their objective,
-// then of the others.
+// pump starts tasks while servers have room: first of jobs that can meet their
+// objective or have begun, whose work would be wasted otherwise, then of others.
 func (p *Placer) pump(now time.Time) {
 	if len(p.waiting) == 0 {
 		return
 	}
-	var turns [3][]*job
+	var turns [2][]*job
 	for _, j := range p.waiting {
 		turns[j.turn(now)] = append(turns[j.turn(now)], j)
 	}
@@ -60,12 +62,10 @@
 // rough, so one that is a little late may still be on time.
 func (j *job) turn(now time.Time) int {
 	switch {
-	case j.began:
+	case j.began, !now.After(j.due.Add(time.Duration(roughShare * float64(j.Demand.Expected)))):
 		return 0
-	case !now.After(j.due.Add(time.Duration(roughShare * float64(j.Demand.Expected)))):
-		return 1
 	default:
-		return 2
+		return 1
 	}
 }
 
@@ -86,13 +86,20 @@
 
 // choose returns the server with room on which the task ends first. While the
 // room of faster servers is scarce it is left to tasks that need it: a task gets
-// the slowest server on which its job still meets the objective.
+// the slowest server that suffices for the objective of its job. A task for which
+// only a faster server suffices waits for one while it can.
 func (p *Placer) choose(t *task, now time.Time) *server {
 	left := t.job.Came.Add(t.job.Objective).Sub(now)
 	var first, frugal *server
-	var least, most time.Duration
+	var least, most, fastest time.Duration
 	for _, s := range p.servers {
-		if s.Service != t.job.Service || !s.usable(now) || !s.hasRoom(t.job.Demand) || !p.allowed(t, s) {
+		if s.Service != t.job.Service || !s.usable(now) || !p.allowed(t, s) {
+			continue
+		}
+		if e := p.speeds.expected(t.job.Demand.Expected, s); fastest == 0 || e < fastest {
+			fastest = e
+		}
+		if !s.hasRoom(t.job.Demand) {
 			continue
 		}
 		expected := p.speeds.expected(t.job.Demand.Expected, s)
@@ -109,10 +116,14 @@
 			frugal, most = s, expected
 		}
 	}
-	if frugal != nil && p.scarce(first) {
+	switch {
+	case frugal != nil && p.scarce(first):
 		return frugal
+	case first != nil && frugal == nil && time.Duration(frugalMargin*float64(fastest)) < left-waitForFast:
+		return nil
+	default:
+		return first
 	}
-	return first
 }
 
 // scarce tells whether little room is left on servers of the kind.
--- a/runs/server.go
+++ b/runs/server.go
@@ -64,6 +64,15 @@
 	demand   model.Demand
 }
 
+// startedAt returns when the run began, as far as it is known: its end may be
+// listed before its start is answered.
+func (r *run) startedAt() time.Time {
+	if r.began.IsZero() {
+		return r.sent
+	}
+	return r.began
+}
+
 type runState int
 
 const (
