Serve late jobs last and refuse those that won't have their turn

Ruled out: the learned speeds (within 5 % of the measured ones on every server).

Change: jobs that can't meet their objective yield to all others, begun or not; one that was not begun is refused as soon as the work ahead of it takes longer than it is of use; margins are tighter while jobs wait; a queue that finds no room stops looking.

--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -204,3 +204,57 @@
 }
 
 const fleetRenewals = 400 * time.Millisecond
+
+func TestStop(t *testing.T) {
+	tests := map[string]struct {
+		leave time.Duration // until all has to be answered
+		wait  time.Duration // after the job came
+		end   bool          // its placer tells its end then
+		want  Kind          // 0 for none yet
+	}{
+		"a job that can end in time is taken":  {leave: 3 * time.Second, end: true, want: KindComplete},
+		"one that can't is refused at once":    {leave: 100 * time.Millisecond, want: KindRefused},
+		"one that is open waits":               {leave: time.Second, wait: 900 * time.Millisecond},
+		"one that doesn't end is answered too": {leave: time.Second, wait: 1100 * time.Millisecond, want: KindUnknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.tell(2, "v", placedA)
+			f.Handle(Leave{By: f.now.Add(tt.leave)})
+			f.submitJob("j", "/v/j")
+			f.wait(tt.wait)
+			if tt.end {
+				f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndComplete})
+			}
+			got := Kind(0)
+			if len(f.answers) > 0 {
+				got = f.answers[0].Kind
+			}
+			if got != tt.want {
+				t.Fatalf("answer %v, want %v", got, tt.want)
+			}
+			f.Handle(Ready{Reply: func(ready bool) {
+				if ready {
+					t.Error("a host that stops says that it is ready")
+				}
+			}})
+		})
+	}
+}
+
+func TestHandElsewhere(t *testing.T) {
+	f := newFixture()
+	f.tell(2, "v", placedA, placedB)
+	f.submitJob("j", "/v/j")
+	f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndRefused, RetryAfter: time.Second})
+	f.Handle(msgs.JobEnded{Job: "j", Host: "q1", Epoch: 5, State: model.JobEndRefused, RetryAfter: time.Second})
+	hands := f.hands()
+	if len(hands) != 3 || hands[1].Host != "q1" || !hands[1].Strict || hands[2].Host != "p1" || hands[2].Strict {
+		t.Fatalf("hands %+v, want the own placer, the other one, and the own one once more without its objective", hands)
+	}
+	f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndRefused, RetryAfter: time.Second})
+	if len(f.answers) != 1 || f.answers[0].Kind != KindRefused || f.answers[0].RetryAfter != time.Second {
+		t.Fatalf("answers %+v, want one refusal with the time to come back", f.answers)
+	}
+}
--- a/runs/admit.go
+++ b/runs/admit.go
@@ -28,7 +28,24 @@
 // the jobs before it and its own, at the rate at which the servers work. Jobs
 // that can't meet their objective any more yield to it.
 func (p *Placer) wait(j *job, now time.Time) time.Duration {
-	rate, room := 0.0, int64(0)
+	rate, room := p.rate(j, now)
+	ahead := time.Duration(0)
+	due := j.Came.Add(j.Objective - j.Demand.Expected)
+	for _, other := range p.waiting {
+		if other.Service == j.Service && !other.due.After(due) && !other.late(now) {
+			ahead += other.work()
+		}
+	}
+	own := time.Duration(max(int64(j.Tasks)-room, 0)) * j.Demand.Expected
+	if ahead+own == 0 || rate == 0 {
+		return 0 // a placer that knows no server yet soon will
+	}
+	return time.Duration(float64(ahead+own) / rate)
+}
+
+// rate returns how much declared run time the servers do in a time, with tasks as
+// large as the job's, and for how many of these there is room.
+func (p *Placer) rate(j *job, now time.Time) (rate float64, room int64) {
 	for _, s := range p.servers {
 		if s.Service != j.Service || !s.usable(now) || !fits(j.Demand, s) {
 			continue
@@ -37,18 +54,41 @@
 		rate += float64(slots) / p.speeds.factor(s)
 		room += max(slots-int64(len(s.runs)), 0)
 	}
-	ahead := time.Duration(0)
-	due := j.Came.Add(j.Objective - j.Demand.Expected)
-	for _, other := range p.waiting {
-		if other.Service == j.Service && !other.due.After(due) && !now.After(other.due) {
-			ahead += time.Duration(other.idle) * other.Demand.Expected
+	return rate, room
+}
+
+// work returns the declared run time of the tasks that wait.
+func (j *job) work() time.Duration {
+	return time.Duration(j.idle) * j.Demand.Expected
+}
+
+// refuseLate refuses jobs that can't meet their objective any more, that nothing
+// was started of and that won't have their turn while it is of use: above the
+// capacity they would wait for nothing.
+func (p *Placer) refuseLate(now time.Time) {
+	ahead := map[string]time.Duration{} // work before the next late job, by service
+	rates := map[string]float64{}
+	for _, j := range p.waiting {
+		if !j.late(now) {
+			ahead[j.Service] += j.work()
 		}
 	}
-	own := time.Duration(max(int64(j.Tasks)-room, 0)) * j.Demand.Expected
-	if ahead+own == 0 || rate == 0 {
-		return 0 // a placer that knows no server yet soon will
+	for _, j := range slices.Clone(p.waiting) {
+		if !j.late(now) {
+			continue
+		}
+		rate, ok := rates[j.Service]
+		if !ok {
+			rate, _ = p.rate(j, now)
+			rates[j.Service] = rate
+		}
+		wait := time.Duration(float64(ahead[j.Service]) / max(rate, 1))
+		if !j.began && rate > 0 && now.Sub(j.Came)+wait > j.useful() {
+			p.end(j, model.JobEndRefused, "the work ahead of it takes too long", now)
+			continue
+		}
+		ahead[j.Service] += j.work()
 	}
-	return time.Duration(float64(ahead+own) / rate)
 }
 
 // slots returns how many such tasks run on the server at the same time.
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -31,6 +31,7 @@
 	ended   map[string]endedJob
 	found   map[string]foundEnd // ends of runs of earlier placers, by task
 	speeds  speeds
+	full    map[string]int64 // least processor time of a task that found no room now, by service
 	seq     uint64
 	out     Output
 }
@@ -224,6 +225,7 @@
 // expire refuses jobs that can't end while it is of use, and ends those whose
 // caller leaves.
 func (p *Placer) expire(now time.Time) {
+	p.refuseLate(now)
 	for _, j := range p.jobs {
 		switch {
 		case j.began && now.Sub(j.Came) >= j.Expires:
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -11,7 +11,9 @@
 
 const (
 	frugalMargin = 1.3                   // times the expected run time that has to be left for a server to suffice: tasks of a job differ
-	roughShare   = 0.5                   // of the declared run time, by which it is commonly wrong
+	busyMargin   = 1.0                   // the same while jobs wait
+	busyJobs     = 2                     // jobs that wait, above which servers are busy
+	roughShare   = 0.2                   // of the declared run time, by which it is commonly wrong
 	waitForFast  = 50 * time.Millisecond // that has to be left to wait for a faster server: one is free within a few
 	priorityStep = 80 * time.Millisecond // by which a job yields to one of the next priority: most objectives leave twice that
 	scarceShare  = 0.6                   // of the room of a kind in use, above which it is scarce
@@ -41,32 +43,31 @@
 }
 
 // pump starts tasks while servers have room: first of jobs that can meet their
-// objective or have begun, whose work would be wasted otherwise, then of others.
+// objective, then of the others. Above the capacity, jobs that are late anyway
+// would otherwise make all others late too.
 func (p *Placer) pump(now time.Time) {
 	if len(p.waiting) == 0 {
 		return
 	}
-	var turns [2][]*job
+	p.full = map[string]int64{}
+	var late []*job
 	for _, j := range p.waiting {
-		turns[j.turn(now)] = append(turns[j.turn(now)], j)
-	}
-	for _, list := range turns {
-		for _, j := range list {
-			p.place(j, now)
+		if j.late(now) {
+			late = append(late, j)
+			continue
 		}
+		p.place(j, now)
+	}
+	for _, j := range late {
+		p.place(j, now)
 	}
 	p.waiting = slices.DeleteFunc(p.waiting, func(j *job) bool { return j.idle == 0 })
 }
 
-// turn returns the place of a job in the order of pump. What a job declares is
+// late tells whether a job can't meet its objective any more. What it declares is
 // rough, so one that is a little late may still be on time.
-func (j *job) turn(now time.Time) int {
-	switch {
-	case j.began, !now.After(j.due.Add(time.Duration(roughShare * float64(j.Demand.Expected)))):
-		return 0
-	default:
-		return 1
-	}
+func (j *job) late(now time.Time) bool {
+	return now.After(j.due.Add(time.Duration(roughShare * float64(j.Demand.Expected))))
 }
 
 // place starts what it can of a job's waiting tasks.
@@ -76,7 +77,13 @@
 		if t.done || t.run != nil {
 			continue
 		}
-		s := p.choose(t, now)
+		if least, full := p.full[j.Service]; full && j.Demand.CPU >= least {
+			return
+		}
+		s, room := p.choose(t, now)
+		if !room && j.Demand.Label == "" {
+			p.full[j.Service] = j.Demand.CPU
+		}
 		if s == nil {
 			return
 		}
@@ -87,8 +94,13 @@
 // choose returns the server with room on which the task ends first. While the
 // room of faster servers is scarce it is left to tasks that need it: a task gets
 // the slowest server that suffices for the objective of its job. A task for which
-// only a faster server suffices waits for one while it can.
-func (p *Placer) choose(t *task, now time.Time) *server {
+// only a faster server suffices waits for one while it can. Room tells whether any
+// server had room.
+func (p *Placer) choose(t *task, now time.Time) (s *server, room bool) {
+	margin := frugalMargin
+	if len(p.waiting) > busyJobs {
+		margin = busyMargin
+	}
 	left := t.job.Came.Add(t.job.Objective).Sub(now)
 	var first, frugal *server
 	var least, most, fastest time.Duration
@@ -109,7 +121,7 @@
 		if first == nil || expected < least || (expected == least && better(s, first)) {
 			first, least = s, expected
 		}
-		if time.Duration(frugalMargin*float64(expected)) > left {
+		if time.Duration(margin*float64(expected)) > left {
 			continue
 		}
 		if frugal == nil || expected > most || (expected == most && better(s, frugal)) {
@@ -118,11 +130,11 @@
 	}
 	switch {
 	case frugal != nil && p.scarce(first):
-		return frugal
-	case first != nil && frugal == nil && time.Duration(frugalMargin*float64(fastest)) < left-waitForFast:
-		return nil
+		return frugal, true
+	case first != nil && frugal == nil && time.Duration(margin*float64(fastest)) < left-waitForFast:
+		return nil, true
 	default:
-		return first
+		return first, first != nil
 	}
 }
 
--- a/runs/world_run_test.go
+++ b/runs/world_run_test.go
@@ -112,3 +112,34 @@
 		})
 	}
 }
+
+// TestEndBeforeStart lists the end of a run before its start is answered: what is
+// learned of run times then counts from the order.
+func TestEndBeforeStart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(1, true, now)
+	s := model.Server{Name: "s", Address: "s", Service: "svc", Born: 1, CPU: 1000, MemoryMB: 10, Labels: []string{"a"}}
+	p.TakeOver([]model.Server{s}, now)
+	look := p.Drain(now).Looks[0]
+	p.Looked(Seen{Server: "s", Seq: look.Seq, Outcome: OutcomeTaken, Clock: 5, Born: 1, Sent: now}, now)
+	for n := range uint64(trySamples + 1) {
+		p.Submit(Job{ID: fmt.Sprint(n), Service: "svc", Tasks: 1, Attempts: 1, Came: now, Objective: time.Second, Expires: time.Minute, Demand: model.Demand{CPU: 1, Expected: 100 * time.Millisecond}}, now)
+		sent := now
+		for _, l := range p.Drain(now).Looks {
+			look = l
+		}
+		now = now.Add(120 * time.Millisecond)
+		p.Looked(Seen{
+			Server: "s", Seq: look.Seq, Outcome: OutcomeTaken, Clock: 5 + int64(n), Born: 1, Sent: sent,
+			Ended: []Ended{{N: n + 1, Task: fmt.Sprintf("%d.0.0.0", n), Run: 1, How: HowDone}},
+		}, now)
+		out := p.Drain(now)
+		if len(out.Ends) != 1 || out.Ends[0].State != model.JobEndComplete {
+			t.Fatalf("ends %v", out.Ends)
+		}
+		look = out.Looks[0] // it acknowledges the end
+	}
+	if got := p.speeds.expected(100*time.Millisecond, p.servers["s"]); got < 110*time.Millisecond || got > 130*time.Millisecond {
+		t.Fatalf("a task is expected to take %v, it took 120 ms each time", got)
+	}
+}
--- a/runs/world_test.go
+++ b/runs/world_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,7 +22,8 @@
 	trouble trouble
 	ended   map[string]model.JobEnd
 	twice   string
-	starts  int
+	work    map[string]time.Duration // of a job's tasks on a server of speed 1, otherwise drawn
+	onEnd   func(e End)
 }
 
 // trouble is how likely each thing is that goes wrong.
@@ -60,7 +62,7 @@
 func newWorld(t *testing.T, seed uint64, tr trouble) *world {
 	return &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), trouble: tr,
-		servers: map[string]*simServer{}, ended: map[string]model.JobEnd{},
+		servers: map[string]*simServer{}, ended: map[string]model.JobEnd{}, work: map[string]time.Duration{}, onEnd: func(End) {},
 	}
 }
 
@@ -174,7 +176,6 @@
 		return OutcomeOld
 	}
 	s.prolong(o.Deadline)
-	s.w.starts++
 	s.w.checkTwice(o.Task)
 	r := &simRun{number: o.Run, life: s.w.rng.Int()}
 	s.runs[o.Task] = r
@@ -183,7 +184,11 @@
 		how = HowFailed
 	}
 	born := s.report.Born
-	took := time.Duration(float64(100+s.w.rng.IntN(200))/s.speed) * time.Millisecond
+	work, ok := s.w.work[o.Task[:strings.IndexByte(o.Task, '.')]]
+	if !ok {
+		work = time.Duration(100+s.w.rng.IntN(200)) * time.Millisecond
+	}
+	took := time.Duration(float64(work) * (0.85 + 0.3*s.w.rng.Float64()) / s.speed)
 	s.w.after(took, func() {
 		if cur, ok := s.runs[o.Task]; ok && cur == r && s.report.Born == born {
 			s.finish(o.Task, how)
@@ -318,6 +323,7 @@
 	}
 	for _, e := range out.Ends {
 		sp.w.ended[e.Job] = e.State
+		sp.w.onEnd(e)
 	}
 	if out.Fenced {
 		sp.dead = true
