--- a/events/hosted.go
+++ b/events/hosted.go
@@ -110,8 +110,8 @@
 		Action:  "None.",
 	}
 	JobPlaced = Event{
-		Code: 633, Name: "JobPlaced", Level: zerolog.InfoLevel, Fields: []string{"Job", "Route", "Outcome", "Reason", "TookMs"},
-		Meaning: "The placer told the end of a job.",
+		Code: 633, Name: "JobPlaced", Level: zerolog.InfoLevel, Fields: []string{"Job", "Route", "Outcome", "Reason", "TookMs", "WaitMs", "Waiting", "Servers"},
+		Meaning: "The placer told the end of a job. WaitMs is how long the work ahead of it was expected to take, Waiting the jobs that waited, Servers those in use.",
 		Action:  "Refused: the reason names what was missing. Failed: see its runs.",
 	}
 	RunChanged = Event{
--- a/hosted/hooks.go
+++ b/hosted/hooks.go
@@ -22,10 +22,17 @@
 			h.Kernel.Fail(err)
 		},
 		Leading: func(leading bool, view uint64) {
+			h.Counts.Leading.Set(0)
+			if leading {
+				h.Counts.Leading.Set(1)
+			}
 			h.Log.At(events.CoreLeading).Bool("Leading", leading).Uint64("View", view).Send()
 		},
 		Joined: func(members []string) { h.Log.At(events.CoreJoined).Strs("Members", members).Send() },
-		Routes: func(version uint64) { h.Log.At(events.RoutesCommitted).Uint64("Version", version).Send() },
+		Routes: func(version uint64) {
+			h.Counts.Committed.Set(float64(version))
+			h.Log.At(events.RoutesCommitted).Uint64("Version", version).Send()
+		},
 		Placed: func(p model.Placement) { h.placement(events.PlacementCommitted, p) },
 	}
 }
@@ -36,12 +43,18 @@
 
 func (h *Host) entryHooks() entry.Hooks {
 	return entry.Hooks{
-		InForce: func(version uint64) { h.Log.At(events.RoutesInForce).Uint64("Version", version).Send() },
+		InForce: func(version uint64) {
+			h.Counts.Routes.Set(float64(version))
+			h.Log.At(events.RoutesInForce).Uint64("Version", version).Send()
+		},
 		Rejected: func(version uint64, err error) {
 			h.Log.At(events.RoutesUnreadable).Uint64("Version", version).Err(err).Send()
 		},
 		Placed: func(p model.Placement) { h.placement(events.PlacerKnown, p) },
 		Core: func(reached bool, leader string) {
+			if !reached {
+				h.Counts.CoreLost.Inc()
+			}
 			h.Log.At(either(reached, events.CoreReached, events.CoreUnreached)).Str("Leader", leader).Send()
 		},
 		Placer: func(reached bool, host string, epoch uint64) {
@@ -52,10 +65,13 @@
 				Int("Tasks", m.Spec.Tasks).Int64("PatienceMs", m.Patience.Milliseconds()).Send()
 		},
 		Rehanded: func(job, placer string, epoch uint64) {
+			h.Counts.Rehanded.Inc()
 			h.Log.At(events.JobRehanded).Str("Job", job).Str("Placer", placer).Uint64("Epoch", epoch).Send()
 		},
 		Answered: func(job, route string, out entry.Outcome, took time.Duration) {
-			h.Log.At(events.JobAnswered).Str("Job", job).Str("Route", route).Stringer("Outcome", out.Kind).
+			h.Counts.Answers.WithLabelValues(route, out.Kind.String(), out.Reason).Inc()
+			h.Counts.Total.WithLabelValues(route, out.Kind.String()).Observe(took.Seconds())
+			h.Log.At(unless(out.Kind == entry.KindComplete, events.JobAnswered)).Str("Job", job).Str("Route", route).Stringer("Outcome", out.Kind).
 				Str("Reason", out.Reason).Int64("TookMs", took.Milliseconds()).Send()
 		},
 		Left: func(job string, took time.Duration) {
@@ -74,9 +90,11 @@
 func (h *Host) placerHooks() placer.Hooks {
 	return placer.Hooks{
 		Began: func(p model.Placement, servers int) {
+			h.Counts.Epoch.Set(float64(p.Epoch))
 			h.Log.At(events.PlacingBegan).Str("DataCentre", p.DataCentre).Uint64("Epoch", p.Epoch).Int("Servers", servers).Send()
 		},
 		Ended: func(epoch uint64, reason string, jobs int) {
+			h.Counts.Epoch.Set(0)
 			h.Log.At(events.PlacingEnded).Uint64("Epoch", epoch).Str("Reason", reason).Int("Jobs", jobs).Send()
 		},
 		Hand: func(m msgs.JobHand) {
@@ -84,18 +102,41 @@
 		},
 		Event: h.placed,
 		End: func(e runs.End) {
-			h.Log.At(events.JobPlaced).Str("Job", e.Job).Str("Route", e.Route).Stringer("Outcome", e.State).
-				Str("Reason", e.Reason).Int64("TookMs", e.Took.Milliseconds()).Send()
+			h.Counts.Placed.WithLabelValues(e.State.String()).Inc()
+			h.Log.At(unless(e.State == model.JobEndComplete, events.JobPlaced)).Str("Job", e.Job).Str("Route", e.Route).Stringer("Outcome", e.State).
+				Str("Reason", e.Reason).Int64("TookMs", e.Took.Milliseconds()).Int64("WaitMs", e.Wait.Milliseconds()).
+				Int("Waiting", e.Waiting).Int("Servers", e.Servers).Send()
 		},
 	}
 }
 
+// unless returns an event as routine when all is as it should be, and as a
+// warning otherwise.
+func unless(routine bool, e events.Event) events.Event {
+	if !routine {
+		e.Level = zerolog.WarnLevel
+	}
+	return e
+}
+
+func (h *Host) countRun(e runs.Event) {
+	switch e.Kind {
+	case runs.EventStarted:
+		h.Counts.Starting.Observe(e.Took.Seconds())
+	case runs.EventEnded:
+		h.Counts.Running.WithLabelValues(e.Reason).Observe(e.Took.Seconds())
+	case runs.EventRetried:
+		h.Counts.RunRetry.WithLabelValues(e.Reason).Inc()
+	}
+}
+
 // placed logs an event of the placer, but for starts and ends as they should be.
 func (h *Host) placed(e runs.Event) {
 	switch e.Kind {
 	case runs.EventSettled:
 		h.Log.At(events.PlacingSettled).Int64("TookMs", e.Took.Milliseconds()).Send()
 	case runs.EventStarted, runs.EventEnded, runs.EventRetried, runs.EventAdopted:
+		h.countRun(e)
 		event := events.RunChanged
 		if e.Reason == runs.OutcomeTaken.String() || e.Reason == runs.HowDone.String() {
 			event.Level = zerolog.DebugLevel
@@ -104,6 +145,7 @@
 			Str("BackendServer", e.Server).Str("Reason", e.Reason).Int64("TookMs", e.Took.Milliseconds()).
 			Int64("ExpectedMs", e.Expected.Milliseconds()).Send()
 	default:
+		h.Counts.Servers.WithLabelValues(string(e.Kind)).Inc()
 		h.Log.At(events.ServerChanged).Str("Change", string(e.Kind)).Str("BackendServer", e.Server).Str("Reason", e.Reason).
 			Int64("IntervalMs", e.Interval.Milliseconds()).Send()
 	}
--- a/hosted/host.go
+++ b/hosted/host.go
@@ -38,11 +38,13 @@
 	Kernel   *kernel.Kernel
 	Log      events.Logger
 	Metrics  *metric.Set
+	Counts   *metric.Hosted
 
 	env      kernel.Env
 	self     model.Host
 	calls    placer.Calls
 	parse    func([]byte) (routes.Document, error)
+	dropped  atomic.Int64 // log lines that a slow reader has cost
 	stopping atomic.Bool
 	stopAt   atomic.Int64 // Unix nanoseconds
 }
@@ -76,6 +78,7 @@
 	for _, opt := range opts {
 		opt(h)
 	}
+	h.Counts = metric.NewHosted(h.Metrics, func() float64 { return float64(h.Log.LeftOut() + h.dropped.Load()) })
 	h.self = model.Host{
 		Name: s.Address, DataCentre: s.DataCentre, Address: h.peerAddress(s.Address), Incarnation: h.env.Random() | 1,
 	}
@@ -197,6 +200,11 @@
 	h.post(msgs.ServiceEntry, entry.Leave{By: now.Add(h.Settings.Grace - answerReserve)})
 }
 
+// Dropped counts log lines that were dropped for a slow reader of the output.
+func (h *Host) Dropped(lines int) {
+	h.dropped.Add(int64(lines))
+}
+
 // Stopping tells whether a planned stop has begun.
 func (h *Host) Stopping() bool {
 	return h.stopping.Load()
--- a/hosted/listen.go
+++ b/hosted/listen.go
@@ -15,7 +15,7 @@
 	idleTimeout    = 2 * time.Minute  // of a kept connection
 	maxHeaderBytes = 16 << 10
 	noticeTime     = 2300 * time.Millisecond // in which a balancer that asks each second notices twice that a host isn't ready
-	answerReserve  = 900 * time.Millisecond // of the grace, to write the last answers and end the process
+	answerReserve  = 900 * time.Millisecond  // of the grace, to write the last answers and end the process
 	stopReserve    = 400 * time.Millisecond  // of the grace, to end the process
 )
 
--- /dev/null
+++ b/metric/hosted.go
@@ -0,0 +1,55 @@
+package metric
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Hosted is the metrics of a host that finds the others through the core, beside
+// those of its links in Set.
+type Hosted struct {
+	Answers   *prometheus.CounterVec   // answers to callers, by Route, Outcome and Reason
+	Total     *prometheus.HistogramVec // seconds from a job's arrival to its answer, by Route and Outcome
+	Placed    *prometheus.CounterVec   // jobs that the placer ended, by Outcome
+	RunRetry  *prometheus.CounterVec   // tasks that wait again, by Reason
+	Starting  prometheus.Histogram     // seconds until a start was answered
+	Running   *prometheus.HistogramVec // seconds that runs took, by How
+	Servers   *prometheus.CounterVec   // changes of backend servers, by Change
+	Rehanded  prometheus.Counter       // open jobs handed to a new placer
+	Epoch     prometheus.Gauge         // of this host's placing, 0 while it doesn't place
+	Routes    prometheus.Gauge         // version of the routes in force
+	Leading   prometheus.Gauge         // 1 on the core's leader
+	CoreLost  prometheus.Counter       // times the core's leader fell silent
+	Committed prometheus.Gauge         // version of the routes that this host of the core has committed
+}
+
+var seconds = []float64{0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6}
+
+// NewHosted returns a fresh set, registered with the metrics of the links. Lines
+// tells how many log lines were left out or dropped.
+func NewHosted(s *Set, lines func() float64) *Hosted {
+	h := &Hosted{
+		Answers:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dogwoodrock_Answers_total", Help: "Answers to callers."}, []string{"Route", "Outcome", "Reason"}),
+		Total:     histograms("Job_seconds", "Time from the arrival of a job to its answer.", "Route", "Outcome"),
+		Placed:    counters("JobsPlaced_total", "Jobs that the placer ended.", "Outcome"),
+		RunRetry:  counters("RunRetries_total", "Tasks that wait for a backend server again.", "Reason"),
+		Starting:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "dogwoodrock_Start_seconds", Help: "Time until a start was answered.", Buckets: seconds}),
+		Running:   histograms("Run_seconds", "Time that runs took.", "How"),
+		Servers:   counters("ServerChanges_total", "Changes of backend servers.", "Change"),
+		Rehanded:  prometheus.NewCounter(prometheus.CounterOpts{Name: "dogwoodrock_JobsRehanded_total", Help: "Open jobs handed to a new placer."}),
+		Epoch:     gauge("Epoch", "Epoch under which this host places, 0 for none."),
+		Routes:    gauge("RoutesVersion", "Version of the routes in force on this host."),
+		Leading:   gauge("CoreLeading", "1 while this host leads the core."),
+		CoreLost:  prometheus.NewCounter(prometheus.CounterOpts{Name: "dogwoodrock_CoreLost_total", Help: "Times the leader of the core fell silent."}),
+		Committed: gauge("RoutesCommitted", "Version of the routes that this host of the core has committed."),
+	}
+	dropped := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "dogwoodrock_LogLinesLeftOut_total", Help: "Log lines left out by the limits or dropped for a slow reader."}, lines)
+	s.registry.MustRegister(h.Answers, h.Total, h.Placed, h.RunRetry, h.Starting, h.Running, h.Servers, h.Rehanded,
+		h.Epoch, h.Routes, h.Leading, h.CoreLost, h.Committed, dropped)
+	return h
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Name: "dogwoodrock_" + name, Help: help})
+}
+
+func histograms(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "dogwoodrock_" + name, Help: help, Buckets: seconds}, labels)
+}
--- a/runs/admit.go
+++ b/runs/admit.go
@@ -111,7 +111,13 @@
 	return s.slots(d) > 0 && (d.Label == "" || slices.Contains(s.Labels, d.Label))
 }
 
-// retryAfter returns when the work that waits will be done.
-func (p *Placer) retryAfter(j *job, now time.Time) time.Duration {
-	return max(p.wait(j, now), model.LeastRetryAfter)
+// inUse returns how many servers could get a task if they had room.
+func (p *Placer) inUse(now time.Time) int {
+	n := 0
+	for _, s := range p.servers {
+		if s.usable(now) {
+			n++
+		}
+	}
+	return n
 }
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -175,8 +175,11 @@
 // end tells the end of a job and forgets it.
 func (p *Placer) end(j *job, state model.JobEnd, reason string, now time.Time) {
 	e := End{Job: j.ID, Host: j.Host, Route: j.Route, State: state, Reason: reason, Took: now.Sub(j.Came)}
+	if state != model.JobEndComplete {
+		e.Wait, e.Waiting, e.Servers = p.wait(j, now), len(p.waiting), p.inUse(now)
+	}
 	if state == model.JobEndRefused {
-		e.RetryAfter = p.retryAfter(j, now)
+		e.RetryAfter = max(e.Wait, model.LeastRetryAfter)
 	}
 	p.out.Ends = append(p.out.Ends, e)
 	if state == model.JobEndComplete || state == model.JobEndFailed {
--- a/runs/types.go
+++ b/runs/types.go
@@ -62,6 +62,9 @@
 	Reason     string
 	RetryAfter time.Duration
 	Took       time.Duration // since the job came
+	Wait       time.Duration // that the work ahead of it was expected to take, unless it is complete
+	Waiting    int           // jobs that waited
+	Servers    int           // backend servers that could get tasks
 }
 
 // Outcome tells how an order was answered.
