Add a soak of real processes, and trace a job through logs

soak runs three core hosts, six entry hosts and nine stand-in workers behind relays, with signals, lost disks, relays and changes that overlap.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -219,7 +219,7 @@
 // handElsewhere hands a job that its placer refused for its load to the next
 // data centre, and at last once more to its own, where it may end late.
 func (n *Node) handElsewhere(j *openJob, now time.Time) bool {
-	if j.hand.Again || !j.hand.Strict {
+	if j.hand.Again || !j.hand.Strict || now.Sub(j.came) >= j.hand.Objective {
 		return false
 	}
 	j.tried[j.placement.DataCentre] = true
--- a/hosted/host.go
+++ b/hosted/host.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -84,7 +85,7 @@
 	}
 	h.Kernel = kernel.New(kernel.WithEnv(h.env), kernel.WithReport(h.panicked))
 	inbox := &peers.Inbox{Incarnation: h.self.Incarnation, Log: h.Log, Sent: h.sent}
-	services := []kernel.Service{inbox.Service(h.self.Address, callTimeout)}
+	services := []kernel.Service{inbox.Service(cmp.Or(s.PeerListen, h.self.Address), callTimeout)}
 	if s.DataFolder != "" {
 		node, err := h.core()
 		if err != nil {
--- a/hosted/settings.go
+++ b/hosted/settings.go
@@ -7,6 +7,7 @@
 	Name        string // in logs
 	Address     string // IP by which other hosts know it
 	DataCentre  string
+	PeerListen  string        // address of the listener for other hosts, empty for Address and PeerPort; for a host behind a relay
 	PeerPort    int           // of calls between hosts, the same on all
 	Seeds       []string      // IPs of hosts of the core
 	Founding    bool          // the whole system starts for the first time
--- a/opcmd/app.go
+++ b/opcmd/app.go
@@ -100,6 +100,12 @@
 	if o.Operator == "" {
 		o.Operator = userName()
 	}
+	switch name {
+	case "trace":
+		return a.trace(&o.Trace)
+	case "check-settings":
+		return a.checkSettings(&o.Check)
+	}
 	c, err := a.NewClient(o.Hosts)
 	if err != nil {
 		return &UsageError{Reason: err.Error()}
--- a/opcmd/options.go
+++ b/opcmd/options.go
@@ -1,6 +1,9 @@
 package opcmd
 
-import "time"
+import (
+	"path/filepath"
+	"time"
+)
 
 // Options holds the arguments of the command line.
 type Options struct {
@@ -21,6 +24,8 @@
 	Submit  SubmitOptions   `command:"submit" description:"hand in a job"`
 	Fetch   FetchOptions    `command:"fetch" description:"print the answer to a job"`
 	Cancel  CancelOptions   `command:"cancel" description:"cancel jobs by key or group"`
+	Trace   TraceOptions    `command:"trace" description:"print what the logs of hosts tell of one job"`
+	Check   FileArgument    `command:"check-settings" description:"check a settings file of a daemon, YAML or the platform's TOML"`
 }
 
 // ListOptions names a list.
@@ -50,6 +55,26 @@
 	Base *uint64 `long:"base" value-name:"VERSION" description:"version that the file was made from, when its last line doesn't say so"`
 }
 
+// TraceOptions names a job and the logs of hosts.
+type TraceOptions struct {
+	Args struct {
+		Job   string   `positional-arg-name:"JOB" required:"yes"`
+		Files []string `positional-arg-name:"FILE" description:"logs; standard input when none is given"`
+	} `positional-args:"yes"`
+}
+
+// FileArgument names a file.
+type FileArgument struct {
+	Args struct {
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// IsTOML tells by its name whether the file is TOML.
+func (a *FileArgument) IsTOML() bool {
+	return filepath.Ext(a.Args.File) == ".toml"
+}
+
 // CustomerOptions names a customer.
 type CustomerOptions struct {
 	Args struct {
--- /dev/null
+++ b/soak/callers.go
@@ -0,0 +1,184 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/kernel"
+	"dogwoodrock.example/dogwoodrock/platform/mimic"
+)
+
+// outcome is what one job came to.
+type outcome struct {
+	id     string
+	result mimic.Result
+	calm   bool // it began after the recovery
+}
+
+const (
+	patience  = 6 * time.Second
+	jobPause  = 120 * time.Millisecond // at most, between the jobs of a client
+	putPause  = 900 * time.Millisecond // at most, between changes of the configuration
+	readPause = 200 * time.Millisecond
+)
+
+// client sends jobs to the fronts of its zone, over connections that it keeps.
+func (s *Site) client(ctx context.Context, n int, results chan<- outcome) {
+	rng := rand.New(rand.NewPCG(s.Seed, uint64(100+n)))
+	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+	for i := 0; ctx.Err() == nil; i++ {
+		var fronts []string
+		for _, h := range s.hosts {
+			if !h.core && h.zone == n%zones {
+				fronts = append(fronts, h.front())
+			}
+		}
+		rng.Shuffle(len(fronts), func(a, b int) { fronts[a], fronts[b] = fronts[b], fronts[a] })
+		job := mimic.Job{
+			ID: fmt.Sprintf("%04x%012x", n, i), Tasks: 1 + rng.IntN(4), CPU: 2000 + rng.IntN(4000),
+			Work: time.Duration(30+rng.IntN(500)) * time.Millisecond, Patience: patience,
+		}
+		calm := s.calm.Load()
+		// The job's own context: its answer counts although the client ends.
+		r := mimic.Submit(context.WithoutCancel(ctx), c, fronts, route, job)
+		results <- outcome{id: job.ID, result: r, calm: calm}
+		time.Sleep(time.Duration(rng.Int64N(int64(jobPause))))
+	}
+}
+
+// operate changes the configuration and reads it back.
+func (s *Site) operate(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(s.Seed, 99))
+	for ctx.Err() == nil {
+		v := s.version.Add(1 + rng.Int64N(3))
+		if mimic.Put(ctx, s.controls, mimic.Config(int(v), "svc", route)) == http.StatusOK {
+			s.acked.Store(v)
+		}
+		for end := time.Now().Add(time.Duration(rng.Int64N(int64(putPause)))); time.Now().Before(end) && ctx.Err() == nil; {
+			s.readBack(ctx, s.controls[rng.IntN(len(s.controls))])
+			time.Sleep(readPause)
+		}
+	}
+}
+
+// readBack checks that a host doesn't tell an older version than was acknowledged
+// before it was asked.
+func (s *Site) readBack(ctx context.Context, control string) uint64 {
+	least := s.acked.Load()
+	got := mimic.Get(ctx, control)
+	if got != 0 && int64(got) < least {
+		s.fail("%s tells version %d, though %d was acknowledged before", control, got, least)
+	}
+	return got
+}
+
+// collect counts results until the faults are over and the system has had the
+// time to recover and to serve for a while.
+func (s *Site) collect(results <-chan outcome, faults <-chan []string, stopWork func()) {
+	refused := map[string]bool{}
+	var over <-chan time.Time
+	for {
+		select {
+		case o := <-results:
+			s.count(o, refused)
+		case s.report.Faults = <-faults:
+			time.AfterFunc(recovery, func() { s.calm.Store(true) })
+			over = time.After(recovery + recovery/2)
+		case <-over:
+			stopWork()
+			s.drain(results, refused)
+			s.checkRefused(refused)
+			return
+		}
+	}
+}
+
+// drain waits for the jobs that are open.
+func (s *Site) drain(results <-chan outcome, refused map[string]bool) {
+	for {
+		select {
+		case o := <-results:
+			s.count(o, refused)
+		case <-time.After(patience + 3*time.Second):
+			return
+		}
+	}
+}
+
+func (s *Site) count(o outcome, refused map[string]bool) {
+	s.report.Jobs++
+	ok := o.result.State == "complete"
+	switch {
+	case ok:
+		s.report.Complete++
+	case o.result.Status == http.StatusServiceUnavailable || o.result.Status == http.StatusTooManyRequests:
+		s.report.Refused++
+		if o.result.RetryAfter == "" {
+			s.fail("job %s was refused without Retry-After", o.id)
+		}
+		if o.result.Tries == 1 {
+			refused[o.id] = true
+		}
+	case o.result.Status == 0:
+		s.report.Cut++
+	}
+	if s.Planned && (o.result.Status == 0 || o.result.Tries > 1) {
+		s.fail("job %s was cut by planned work: %+v", o.id, o.result)
+	}
+	if o.calm {
+		s.report.Late++
+		if ok {
+			s.report.Served++
+		}
+	}
+}
+
+// checkRefused checks that nothing ran of the jobs that were said not to run.
+func (s *Site) checkRefused(refused map[string]bool) {
+	counts, err := s.counts()
+	if err != nil {
+		s.fail("the workers' counts: %v", err)
+		return
+	}
+	for id := range refused {
+		if counts.Jobs[id] {
+			s.fail("job %s was refused as not run, and a task of it was started", id)
+		}
+	}
+	for _, twice := range counts.Twice {
+		s.fail("%s", twice)
+	}
+	if counts.Done == 0 {
+		s.fail("no task has ended")
+	}
+}
+
+func (s *Site) counts() (mimic.Counts, error) {
+	ref, err := s.workers.Find("site")
+	if err != nil {
+		return mimic.Counts{}, err
+	}
+	return kernel.Ask(context.Background(), ref, func(reply func(mimic.Counts)) any { return mimic.GetCounts{Reply: reply} })
+}
+
+// judge checks what has to hold in the end.
+func (s *Site) judge(ctx context.Context) {
+	if s.report.Late == 0 || float64(s.report.Served) < leastServed*float64(s.report.Late) {
+		s.fail("after the recovery %d of %d jobs were served", s.report.Served, s.report.Late)
+	}
+	for _, c := range s.controls {
+		if got := s.readBack(ctx, c); got == 0 {
+			s.fail("%s doesn't tell the configuration in the end", c)
+		}
+	}
+	close(s.failures)
+	for f := range s.failures {
+		s.report.Failures = append(s.report.Failures, f)
+	}
+	slices.Sort(s.report.Failures)
+	s.report.Failures = slices.Compact(s.report.Failures)
+}
--- /dev/null
+++ b/soak/host.go
@@ -0,0 +1,135 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/platform"
+	"dogwoodrock.example/dogwoodrock/platform/mimic"
+)
+
+const (
+	grace    = 6 * time.Second        // from SIGTERM to SIGKILL
+	comeBack = 200 * time.Millisecond // from the end of a process to its next start
+)
+
+// host is one daemon and its processes.
+type host struct {
+	site    *Site
+	name    string
+	core    bool
+	zone    int
+	ip      string // by which other hosts know it
+	folder  string
+	relay   *Relay // of calls between hosts
+	cmd     *exec.Cmd
+	ended   chan struct{}
+	founded bool
+	paused  bool
+}
+
+func (h *host) front() string   { return mimic.Address(h.ip, h.site.base+21) }
+func (h *host) control() string { return mimic.Address(h.ip, h.site.base+20) }
+
+// settings returns the text of the settings file.
+func (h *host) settings() string {
+	var b strings.Builder
+	class := "front"
+	if h.core {
+		class = "core"
+	}
+	fmt.Fprintf(&b, "node = %q\nclass = %q\nip = %q\nzone = \"z%d\"\nport_range = [%d,%d]\nbootstrap = %v\n",
+		h.name, class, h.ip, h.zone, h.site.base, h.site.base+15, !h.founded)
+	fmt.Fprintf(&b, "seeds = [%q,%q,%q]\ndata_dir = %q\n", h.site.controls[0], h.site.controls[1], h.site.controls[2], filepath.Join(h.folder, "data"))
+	fmt.Fprintf(&b, "[listen]\nfront = %q\nreadiness = %q\ncontrol = %q\n", h.front(), mimic.Address(h.ip, h.site.base+22), h.control())
+	fmt.Fprintf(&b, "[limits]\ncpu_share = 0.%d\ncores = 1\nmemory_mb = 256\n[bounds]\ngrace_s = %d\n", 3+len(h.name)%3, int(grace.Seconds()))
+	return b.String()
+}
+
+// start runs the daemon.
+func (h *host) start() error {
+	path := filepath.Join(h.folder, "boot.toml")
+	if err := os.WriteFile(path, []byte(h.settings()), 0o600); err != nil {
+		return err
+	}
+	h.founded = true
+	log, err := os.OpenFile(filepath.Join(h.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(h.site.Daemon)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+path, platform.PeerListenVariable+"="+mimic.Address(h.hidden(), h.site.base))
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	h.cmd, h.ended = cmd, make(chan struct{})
+	go func(ended chan struct{}) {
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(ended)
+	}(h.ended)
+	return nil
+}
+
+// hidden returns the address on which the daemon listens behind its relay.
+func (h *host) hidden() string {
+	return strings.Replace(h.ip, "127.", "127.1", 1)
+}
+
+// signal sends a signal to the process that this host started.
+func (h *host) signal(s syscall.Signal) {
+	select {
+	case <-h.ended:
+	default:
+		_ = h.cmd.Process.Signal(s)
+	}
+}
+
+// stop ends the process, with SIGTERM when it is planned, and tells whether it
+// ended in time.
+func (h *host) stop(planned bool) bool {
+	if h.paused {
+		h.signal(syscall.SIGCONT)
+		h.paused = false
+	}
+	if planned {
+		h.signal(syscall.SIGTERM)
+		select {
+		case <-h.ended:
+			return true
+		case <-time.After(grace):
+		}
+	}
+	h.signal(syscall.SIGKILL)
+	<-h.ended
+	return !planned
+}
+
+// restart starts the process again, without its data when they are lost.
+func (h *host) restart(lost bool) error {
+	if lost {
+		if err := os.RemoveAll(filepath.Join(h.folder, "data")); err != nil {
+			return err
+		}
+	}
+	time.Sleep(comeBack)
+	return h.start()
+}
+
+func (s *Site) addHost(ctx context.Context, name string, zone, number int, isCore bool) (*host, error) {
+	h := &host{site: s, name: name, zone: zone, core: isCore, ip: fmt.Sprintf("127.%d.%d.%d", s.net, zone+1, number)}
+	h.folder = filepath.Join(s.Folder, name)
+	if err := os.MkdirAll(h.folder, 0o700); err != nil {
+		return nil, err
+	}
+	var err error
+	h.relay, err = StartRelay(ctx, mimic.Address(h.ip, s.base), mimic.Address(h.hidden(), s.base))
+	return h, err
+}
--- /dev/null
+++ b/trace/line.go
@@ -0,0 +1,85 @@
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// Line is one log line of a host.
+type Line struct {
+	Time          time.Time
+	Host          string
+	Event         int
+	Name          string
+	Job           string
+	Task          string
+	Run           int
+	BackendServer string
+	Placer        string
+	DataCentre    string
+	Epoch         uint64
+	Change        string
+	Outcome       string
+	Reason        string
+	Route         string
+	TookMs        int64
+	WaitMs        int64
+	Waiting       int
+	Servers       int
+	LeftOut       int64
+
+	Text string `json:"-"` // as it was logged, from its first brace
+}
+
+// maxLine is the longest line that is read, in bytes.
+const maxLine = 1 << 20
+
+// Read returns the lines of a log. What stands before the first brace of a line
+// is ignored, as are lines that hold no event; their number is returned.
+func Read(r io.Reader) (lines []Line, ignored int, err error) {
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 0, 1<<16), maxLine)
+	for s.Scan() {
+		text := s.Bytes()
+		at := bytes.IndexByte(text, '{')
+		var l Line
+		if at < 0 || json.Unmarshal(text[at:], &l) != nil || l.Event == 0 {
+			ignored++
+			continue
+		}
+		l.Text = string(text[at:])
+		lines = append(lines, l)
+	}
+	return lines, ignored, s.Err()
+}
+
+// String returns the line for a reader, without what is empty.
+func (l Line) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s %d %s", l.Time.Format("15:04:05.000"), l.Host, l.Event, l.Name)
+	for _, f := range []struct{ name, value string }{
+		{"Change", l.Change}, {"Outcome", l.Outcome}, {"Task", l.Task}, {"BackendServer", l.BackendServer},
+		{"Placer", l.Placer}, {"Reason", l.Reason},
+	} {
+		if f.value != "" {
+			fmt.Fprintf(&b, " %s=%q", f.name, f.value)
+		}
+	}
+	for _, f := range []struct {
+		name  string
+		value int64
+	}{
+		{"Run", int64(l.Run)}, {"Epoch", int64(l.Epoch)}, {"TookMs", l.TookMs}, {"WaitMs", l.WaitMs},
+		{"Waiting", int64(l.Waiting)}, {"Servers", int64(l.Servers)}, {"LeftOut", l.LeftOut},
+	} {
+		if f.value != 0 {
+			fmt.Fprintf(&b, " %s=%d", f.name, f.value)
+		}
+	}
+	return b.String()
+}
