--- a/placer/node.go
+++ b/placer/node.go
@@ -53,8 +53,13 @@
 	tableEpoch uint64            // of the placer that told servers
 	hosts      map[string]*host
 	early      []early
+	flushing   bool // a flush is on its way
+	pace       pace // of answers to orders
 }
 
+// flush is the node's message to itself that orders may be due.
+type flush struct{}
+
 // host is an entry host that sends jobs.
 type host struct {
 	incarnation uint64
@@ -135,8 +140,21 @@
 		}
 	case answered:
 		n.answered(m, now)
+	case flush:
+		n.flushing = false
+		n.carryOut(now)
+		return
+	}
+	n.flush()
+}
+
+// flush has what follows from the messages carried out once those that wait
+// already have been handled too: under load they are many.
+func (n *Node) flush() {
+	if !n.flushing && n.placer != nil {
+		n.flushing = true
+		n.task.Self.Reply(flush{})
 	}
-	n.carryOut(now)
 }
 
 func (n *Node) tick(now time.Time) {
--- a/placer/orders.go
+++ b/placer/orders.go
@@ -8,18 +8,18 @@
 	"dogwoodrock.example/dogwoodrock/runs"
 )
 
-// callTime is how long a server may take to answer an order, and to answer a
-// look besides the time that it waits for an end. Servers answer within a few
-// milliseconds, and a start that is given up too soon costs a look only.
-const callTime = 60 * time.Millisecond
-
 // answered is the answer to an order, for the epoch that gave it.
 type answered struct {
 	epoch uint64
+	sent  time.Time
+	waits time.Duration
 	take  func(p *runs.Placer, now time.Time)
 }
 
 func (n *Node) answered(m answered, now time.Time) {
+	if m.waits == 0 {
+		n.pace.learn(now.Sub(m.sent))
+	}
 	if n.placer != nil && n.placer.Epoch() == m.epoch {
 		m.take(n.placer, now)
 	}
@@ -32,19 +32,19 @@
 	}
 	out := n.placer.Drain(now)
 	for _, o := range out.Starts {
-		n.call(callTime, func(ctx context.Context) func(*runs.Placer, time.Time) {
+		n.call(0, func(ctx context.Context) func(*runs.Placer, time.Time) {
 			a := n.Calls.Start(ctx, o)
 			return func(p *runs.Placer, now time.Time) { p.Started(a, now) }
 		})
 	}
 	for _, o := range out.Stops {
-		n.call(callTime, func(ctx context.Context) func(*runs.Placer, time.Time) {
+		n.call(0, func(ctx context.Context) func(*runs.Placer, time.Time) {
 			a := n.Calls.Stop(ctx, o)
 			return func(p *runs.Placer, now time.Time) { p.Stopped(a, now) }
 		})
 	}
 	for _, o := range out.Looks {
-		n.call(callTime+o.Wait, func(ctx context.Context) func(*runs.Placer, time.Time) {
+		n.call(o.Wait, func(ctx context.Context) func(*runs.Placer, time.Time) {
 			seen := n.Calls.Look(ctx, o)
 			return func(p *runs.Placer, now time.Time) { p.Looked(seen, now) }
 		})
@@ -65,11 +65,14 @@
 }
 
 // call makes a call in a child and hands its answer to the placer that ordered it.
-func (n *Node) call(limit time.Duration, do func(ctx context.Context) func(*runs.Placer, time.Time)) {
-	epoch := n.placer.Epoch()
+// Waits is how long the answer is meant to wait.
+func (n *Node) call(waits time.Duration, do func(ctx context.Context) func(*runs.Placer, time.Time)) {
+	epoch, sent := n.placer.Epoch(), n.task.Env.Now()
+	limit := waits + n.pace.limit()
 	n.task.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
-		n.task.Self.Reply(answered{epoch: epoch, take: do(ctx)})
+		take := do(ctx)
+		n.task.Self.Reply(answered{epoch: epoch, sent: sent, waits: waits, take: take})
 	})
 }
--- a/runs/admit.go
+++ b/runs/admit.go
@@ -50,8 +50,11 @@
 		if s.Service != j.Service || !s.usable(now) || !fits(j.Demand, s) {
 			continue
 		}
+		if s.speed == nil {
+			p.speeds.refresh(s)
+		}
 		slots := s.slots(j.Demand)
-		rate += float64(slots) / p.speeds.factor(s)
+		rate += float64(slots) / s.factor
 		room += max(slots-int64(len(s.runs)), 0)
 	}
 	return rate, room
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -192,6 +192,7 @@
 func (p *Placer) Tick(now time.Time) {
 	p.settle(now)
 	for _, s := range p.servers {
+		p.speeds.refresh(s)
 		p.tickServer(s, now)
 	}
 	p.expire(now)
--- a/runs/server.go
+++ b/runs/server.go
@@ -45,6 +45,8 @@
 	answered time.Time // last answer to a look
 	retryAt  time.Time
 
+	speed       *kindSpeed // of its kind
+	factor      float64    // run times on it over declared ones, refreshed with each Tick
 	pausedUntil time.Time
 	health      health
 }
--- a/runs/speed.go
+++ b/runs/speed.go
@@ -45,17 +45,26 @@
 	return k
 }
 
+// refresh works out the factor of a server anew.
+func (v *speeds) refresh(s *server) {
+	s.speed = v.of(s)
+	s.factor = math.Exp(s.health.slow)
+	if s.speed.count < trySamples {
+		s.factor *= tryFactor
+		return
+	}
+	s.factor *= math.Exp(s.speed.log)
+}
+
 // expected returns how long a task that declares this time runs on a server.
 func (v *speeds) expected(declared time.Duration, s *server) time.Duration {
 	if declared <= 0 {
 		declared = unknownRun
 	}
-	k := v.of(s)
-	factor := math.Exp(k.log)
-	if k.count < trySamples {
-		factor = tryFactor
+	if s.speed == nil {
+		v.refresh(s)
 	}
-	return time.Duration(float64(declared) * factor * math.Exp(s.health.slow))
+	return time.Duration(float64(declared) * s.factor)
 }
 
 // learn takes in how long a task ran.
@@ -70,13 +79,10 @@
 	k.count++
 	if k.count <= trySamples {
 		k.log += residual / k.count
+		v.refresh(s)
 		return
 	}
 	s.health.slow += serverGain * (residual - s.health.slow)
 	k.log += max(1/k.count, leastGain) * (residual - s.health.slow)
-}
-
-// factor returns the mean of measured over declared time on the kind of a server.
-func (v *speeds) factor(s *server) float64 {
-	return math.Exp(v.of(s).log)
+	v.refresh(s)
 }
