Look at all servers again after a placer stood still

Change: a placer without any input for 300 ms looks at all servers before it starts anything; one that follows the other placer fences it off.

--- a/codec/envelope.go
+++ b/codec/envelope.go
@@ -92,18 +92,6 @@
 	register[msgs.Load, wire.Envelope_Load]()
 	register[msgs.Learned, wire.Envelope_Learned]()
 	register[msgs.JobRefused, wire.Envelope_JobRefused]()
-	register[msgs.HostRenew, wire.Envelope_HostRenew]()
-	register[msgs.HostRenewed, wire.Envelope_HostRenewed]()
-	register[msgs.JobHand, wire.Envelope_JobHand]()
-	register[msgs.JobWithdraw, wire.Envelope_JobWithdraw]()
-	register[msgs.JobEnded, wire.Envelope_JobEnded]()
-	register[msgs.Pulse, wire.Envelope_Pulse]()
-	register[msgs.Pulsed, wire.Envelope_Pulsed]()
-	register[msgs.ServerSeen, wire.Envelope_ServerSeen]()
-	register[msgs.ServerNoted, wire.Envelope_ServerNoted]()
-	register[msgs.CoreJoin, wire.Envelope_CoreJoin]()
-	register[msgs.CoreJoined, wire.Envelope_CoreJoined]()
-	register[msgs.CoreFound, wire.Envelope_CoreFound]()
 }
 
 // ToWire translates a message for a service. It returns a BodyError when the
--- a/codec/fleet.go
+++ b/codec/fleet.go
@@ -4,6 +4,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"dogwoodrock.example/dogwoodrock/fleet"
+	"dogwoodrock.example/dogwoodrock/msgs"
 	"dogwoodrock.example/dogwoodrock/wire"
 )
 
@@ -14,6 +15,21 @@
 	fleetSnapshotFromWire = Translator[fleet.Snapshot, wire.FleetSnapshot]()
 )
 
+func init() {
+	register[msgs.HostRenew, wire.Envelope_HostRenew]()
+	register[msgs.HostRenewed, wire.Envelope_HostRenewed]()
+	register[msgs.JobHand, wire.Envelope_JobHand]()
+	register[msgs.JobWithdraw, wire.Envelope_JobWithdraw]()
+	register[msgs.JobEnded, wire.Envelope_JobEnded]()
+	register[msgs.Pulse, wire.Envelope_Pulse]()
+	register[msgs.Pulsed, wire.Envelope_Pulsed]()
+	register[msgs.ServerSeen, wire.Envelope_ServerSeen]()
+	register[msgs.ServerNoted, wire.Envelope_ServerNoted]()
+	register[msgs.CoreJoin, wire.Envelope_CoreJoin]()
+	register[msgs.CoreJoined, wire.Envelope_CoreJoined]()
+	register[msgs.CoreFound, wire.Envelope_CoreFound]()
+}
+
 // FleetCommands encodes the commands of one entry of the core's log.
 func FleetCommands(commands []fleet.Command) ([]byte, error) {
 	batch := &wire.FleetCommands{}
--- a/core/node.go
+++ b/core/node.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	heartbeat = 80 * time.Millisecond  // of an idle leader: three fit into a lease
-	lease = 280 * time.Millisecond  // a leader that is cut off stops deciding after it
-	election = 350 * time.Millisecond  // longer than a lease, so that a backup's promise has ended
+	heartbeat     = 80 * time.Millisecond   // of an idle leader: three fit into a lease
+	lease         = 280 * time.Millisecond  // a leader that is cut off stops deciding after it
+	election      = 350 * time.Millisecond  // longer than a lease, so that a backup's promise has ended
 	driftShare    = 10                      // clocks drift apart by at most a tenth of a lease
 	snapshotEvery = 64                      // log entries; each holds a whole document
 	maxCommands   = 16                      // in one log entry
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -15,12 +15,12 @@
 	// after four of them.
 	RenewInterval = 200 * time.Millisecond
 
-	placerSilence  = 4 * RenewInterval      // after which a placer is superseded: one lost message and a late one are borne
-	suspectSilence = 3 * RenewInterval / 2  // the same for one that another host of its data centre can't reach
-	settleTime = 11 * RenewInterval / 10  // in which a new leader only listens, so that every host has renewed
-	forgetAfter    = 20 * placerSilence     // after which a silent host is no longer listed
-	suspectFor     = 2 * RenewInterval      // how long a suspicion counts
-	placeRetry     = 500 * time.Millisecond // after which a placement that wasn't committed is proposed again
+	placerSilence  = 4 * RenewInterval       // after which a placer is superseded: one lost message and a late one are borne
+	suspectSilence = 3 * RenewInterval / 2   // the same for one that another host of its data centre can't reach
+	settleTime     = 11 * RenewInterval / 10 // in which a new leader only listens, so that every host has renewed
+	forgetAfter    = 20 * placerSilence      // after which a silent host is no longer listed
+	suspectFor     = 2 * RenewInterval       // how long a suspicion counts
+	placeRetry     = 500 * time.Millisecond  // after which a placement that wasn't committed is proposed again
 )
 
 // Watch is the leader's view of the entry hosts. It starts empty with each lead.
--- a/msgs/fleet.go
+++ b/msgs/fleet.go
@@ -80,7 +80,7 @@
 // Pulsed answers a Pulse.
 type Pulsed struct {
 	Host    string
-	Epoch   uint64 // 0 when the host places for no data centre
+	Epoch   uint64         // 0 when the host places for no data centre
 	Servers uint64         // version of the table of backend servers
 	Since   uint64         // version that Table begins from, 0 for a whole table
 	Table   []model.Server // that changed after Since
--- a/runs/admit.go
+++ b/runs/admit.go
@@ -46,7 +46,7 @@
 // rate returns how much declared run time the servers do in a time, with tasks as
 // large as the job's, and for how many of these there is room.
 func (p *Placer) rate(j *job, now time.Time) (rate float64, room int64) {
-	for _, s := range p.servers {
+	for _, s := range p.order {
 		if s.Service != j.Service || !s.usable(now) || !fits(j.Demand, s) {
 			continue
 		}
@@ -117,7 +117,7 @@
 // inUse returns how many servers could get a task if they had room.
 func (p *Placer) inUse(now time.Time) int {
 	n := 0
-	for _, s := range p.servers {
+	for _, s := range p.order {
 		if s.usable(now) {
 			n++
 		}
--- a/runs/health.go
+++ b/runs/health.go
@@ -55,7 +55,7 @@
 // mayEject keeps at least two thirds of the servers of a service.
 func (p *Placer) mayEject(s *server, now time.Time) bool {
 	all, ejected := 0, 1
-	for _, other := range p.servers {
+	for _, other := range p.order {
 		if other.Service != s.Service {
 			continue
 		}
--- a/runs/look.go
+++ b/runs/look.go
@@ -6,6 +6,7 @@
 
 // Looked takes the answer to a look.
 func (p *Placer) Looked(m Seen, now time.Time) {
+	p.awake(now)
 	s, ok := p.servers[m.Server]
 	if !ok || m.Seq <= s.looked || (m.Outcome == OutcomeUnknown && m.Seq != s.looking) {
 		return // a later look has told more
@@ -73,7 +74,7 @@
 			r.state, r.began = stateRunning, now // the answer to its start is late
 		}
 	}
-	for _, r := range s.runs {
+	for _, r := range inOrder(s.runs) {
 		if listed[r.name] == r.number || r.checked.IsZero() || !m.Sent.After(r.checked) {
 			continue
 		}
@@ -115,7 +116,7 @@
 			return true
 		}
 	}
-	for _, s := range p.servers {
+	for _, s := range p.order {
 		r, ok := s.runs[t.name]
 		if !ok || r.task != nil || r.state != stateRunning {
 			continue
--- a/runs/order.go
+++ b/runs/order.go
@@ -25,6 +25,7 @@
 
 // Started takes the answer to a start.
 func (p *Placer) Started(a Answer, now time.Time) {
+	p.awake(now)
 	s, r := p.runOf(a)
 	if r == nil {
 		return
@@ -102,6 +103,7 @@
 // Stopped takes the answer to a stop. From then on the run can't begin; whether
 // it had, a later look tells.
 func (p *Placer) Stopped(a Answer, now time.Time) {
+	p.awake(now)
 	s, r := p.runOf(a)
 	if r == nil || r.state != stateStopping {
 		return
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -19,12 +19,15 @@
 
 // Placer places the runs of one data centre under one epoch.
 type Placer struct {
-	epoch   uint64
-	began   time.Time
-	settled bool
-	whole   bool // the servers used by the placer before are known
+	epoch    uint64
+	began    time.Time
+	settled  bool
+	last     time.Time // last input
+	resumeAt time.Time // latest, after the placer stood still
+	whole    bool      // the servers used by the placer before are known
 
 	servers map[string]*server
+	order   []*server // the same, by name
 	jobs    map[string]*job
 	waiting []*job // jobs with tasks that wait for a server, most urgent first
 	again   []*job // jobs that wait for what earlier placers left
@@ -100,6 +103,7 @@
 // Submit takes a job. One that is known already goes on, and its end is told to
 // the host that asked last.
 func (p *Placer) Submit(j Job, now time.Time) {
+	p.awake(now)
 	if known, ok := p.jobs[j.ID]; ok {
 		known.Host, known.Incarnation = j.Host, j.Incarnation
 		known.Came, known.Expires = j.Came, j.Expires
@@ -153,7 +157,7 @@
 // HostLost withdraws the jobs of an entry host, those of its process before when
 // the incarnation is not 0.
 func (p *Placer) HostLost(host string, incarnation uint64, now time.Time) {
-	for _, j := range p.jobs {
+	for _, j := range inOrder(p.jobs) {
 		if j.Host == host && (incarnation == 0 || j.Incarnation != incarnation) {
 			p.drop(j, now)
 		}
@@ -190,8 +194,9 @@
 
 // Tick does what is due by time.
 func (p *Placer) Tick(now time.Time) {
+	p.awake(now)
 	p.settle(now)
-	for _, s := range p.servers {
+	for _, s := range p.order {
 		p.speeds.refresh(s)
 		p.tickServer(s, now)
 	}
@@ -218,19 +223,19 @@
 }
 
 func (p *Placer) allKnown() bool {
-	for _, s := range p.servers {
+	for _, s := range p.order {
 		if !s.known {
 			return false
 		}
 	}
-	return p.whole && len(p.servers) > 0
+	return p.whole && len(p.order) > 0
 }
 
 // expire refuses jobs that can't end while it is of use, and ends those whose
 // caller leaves.
 func (p *Placer) expire(now time.Time) {
 	p.refuseLate(now)
-	for _, j := range p.jobs {
+	for _, j := range inOrder(p.jobs) {
 		switch {
 		case j.began && now.Sub(j.Came) >= j.Expires:
 			p.end(j, model.JobEndUnknown, "the time of its caller is over", now)
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -46,7 +46,7 @@
 // objective, then of the others. Above the capacity, jobs that are late anyway
 // would otherwise make all others late too.
 func (p *Placer) pump(now time.Time) {
-	if len(p.waiting) == 0 {
+	if len(p.waiting) == 0 || !p.resumed(now) {
 		return
 	}
 	p.full = map[string]int64{}
@@ -102,46 +102,52 @@
 		margin = busyMargin
 	}
 	left := t.job.Came.Add(t.job.Objective).Sub(now)
-	var first, frugal *server
-	var least, most, fastest time.Duration
-	for _, s := range p.servers {
+	suffices := func(e time.Duration) bool { return time.Duration(margin*float64(e)) <= left }
+	var first, frugal option
+	var fastest time.Duration
+	for _, s := range p.order {
 		if s.Service != t.job.Service || !s.usable(now) || !p.allowed(t, s) {
 			continue
 		}
-		if e := p.speeds.expected(t.job.Demand.Expected, s); fastest == 0 || e < fastest {
-			fastest = e
+		o := option{server: s, expected: p.speeds.expected(t.job.Demand.Expected, s)}
+		if fastest == 0 || o.expected < fastest {
+			fastest = o.expected
 		}
 		if !s.hasRoom(t.job.Demand) {
 			continue
 		}
-		expected := p.speeds.expected(t.job.Demand.Expected, s)
 		if s.Name == t.avoid {
-			expected *= standFactor
+			o.expected *= standFactor
 		}
-		if first == nil || expected < least || (expected == least && better(s, first)) {
-			first, least = s, expected
+		if first.server == nil || o.expected < first.expected || (o.expected == first.expected && better(s, first.server)) {
+			first = o
 		}
-		if time.Duration(margin*float64(expected)) > left {
-			continue
-		}
-		if frugal == nil || expected > most || (expected == most && better(s, frugal)) {
-			frugal, most = s, expected
+		if suffices(o.expected) && (frugal.server == nil || o.expected > frugal.expected || (o.expected == frugal.expected && better(s, frugal.server))) {
+			frugal = o
 		}
 	}
 	switch {
-	case frugal != nil && p.scarce(first):
-		return frugal, true
-	case first != nil && frugal == nil && time.Duration(margin*float64(fastest)) < left-waitForFast:
+	case first.server == nil:
+		return nil, false
+	case frugal.server != nil && p.scarce(first.server):
+		return frugal.server, true
+	case frugal.server == nil && suffices(fastest+waitForFast):
 		return nil, true
 	default:
-		return first, first != nil
+		return first.server, true
 	}
 }
 
+// option is a server with room for a task, and how long the task would run there.
+type option struct {
+	server   *server
+	expected time.Duration
+}
+
 // scarce tells whether little room is left on servers of the kind.
 func (p *Placer) scarce(of *server) bool {
 	all, used := int64(0), int64(0)
-	for _, s := range p.servers {
+	for _, s := range p.order {
 		if s.Service == of.Service && s.Kind() == of.Kind() {
 			all += s.CPU
 			used += s.used.CPU
@@ -181,7 +187,7 @@
 // nothing. A placer that knows no server of the service can't tell.
 func (p *Placer) impossible(j *job) string {
 	seen := false
-	for _, s := range p.servers {
+	for _, s := range p.order {
 		if s.Service != j.Service {
 			continue
 		}
--- a/runs/server.go
+++ b/runs/server.go
@@ -1,6 +1,9 @@
 package runs
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"dogwoodrock.example/dogwoodrock/model"
@@ -88,7 +91,7 @@
 // TakeOver notes the servers of the placer before.
 func (p *Placer) TakeOver(servers []model.Server, now time.Time) {
 	for _, m := range servers {
-		p.servers[m.Name] = &server{Server: m, heard: now, spread: true, runs: map[string]*run{}}
+		p.add(&server{Server: m, heard: now, spread: true, runs: map[string]*run{}})
 	}
 }
 
@@ -99,15 +102,33 @@
 	}
 }
 
+// add puts a server into the table.
+func (p *Placer) add(s *server) {
+	p.servers[s.Name] = s
+	i, _ := slices.BinarySearchFunc(p.order, s, func(a, b *server) int { return strings.Compare(a.Name, b.Name) })
+	p.order = slices.Insert(slices.Clone(p.order), i, s)
+}
+
+// inOrder returns the values of a map by their names, so that equal inputs lead
+// to equal outputs.
+func inOrder[T any](m map[string]T) []T {
+	list := make([]T, 0, len(m))
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		list = append(list, m[name])
+	}
+	return list
+}
+
 // Report notes what a server says of itself.
 func (p *Placer) Report(m model.Server, now time.Time) {
+	p.awake(now)
 	s, ok := p.servers[m.Name]
 	switch {
 	case !ok && m.Left:
 		return
 	case !ok:
 		s = &server{Server: m, found: now, runs: map[string]*run{}}
-		p.servers[m.Name] = s
+		p.add(s)
 		p.event(Event{Kind: EventFound, Server: m.Name})
 	case m.Left:
 		s.Draining = true // what runs on it still, its looks and its lease tell
@@ -137,21 +158,13 @@
 // lose forgets a server whose process has ended, and with it all its runs.
 func (p *Placer) lose(s *server, reason string, now time.Time) {
 	delete(p.servers, s.Name)
+	p.order = slices.DeleteFunc(slices.Clone(p.order), func(other *server) bool { return other == s })
 	p.event(Event{Kind: EventLost, Server: s.Name, Reason: reason})
-	for _, r := range s.runs {
+	for _, r := range inOrder(s.runs) {
 		p.vanished(r, reason, now)
 	}
 }
 
-// Servers returns what is known of all servers.
-func (p *Placer) Servers() []model.Server {
-	list := make([]model.Server, 0, len(p.servers))
-	for _, s := range p.servers {
-		list = append(list, s.Server)
-	}
-	return list
-}
-
 // clockNow returns the server's clock, not later than it is.
 func (s *server) clockNow(now time.Time) int64 {
 	return s.clock + int64(clockRate*float64(now.Sub(s.clockAt).Milliseconds()))
@@ -213,7 +226,7 @@
 // tickServer gives up what a silent server can't hold any more and repeats stops.
 func (p *Placer) tickServer(s *server, now time.Time) {
 	if s.silent && len(s.runs) > 0 && s.lapsed(now) {
-		for _, r := range s.runs {
+		for _, r := range inOrder(s.runs) {
 			p.vanished(r, "lease over", now)
 		}
 	}
@@ -221,7 +234,7 @@
 		p.lose(s, "not heard of", now)
 		return
 	}
-	for _, r := range s.runs {
+	for _, r := range inOrder(s.runs) {
 		switch {
 		case r.state == stateStopping && !now.Before(r.stopAt):
 			p.sendStop(r, now)
@@ -235,7 +248,7 @@
 // lookAround sends the looks that are due: at servers that run something, that
 // have ends to be acknowledged, or that are not known yet.
 func (p *Placer) lookAround(now time.Time) {
-	for _, s := range p.servers {
+	for _, s := range p.order {
 		idle := len(s.runs) == 0 && s.known && !s.silent && s.acked == s.cursor
 		if !s.lookNow && (idle || s.looking != 0 || now.Before(s.retryAt)) {
 			continue
@@ -254,7 +267,7 @@
 // so that a look that gets lost is missed soon after.
 func (s *server) nextEnd(now time.Time) time.Duration {
 	wait := lookWait
-	for _, r := range s.runs {
+	for _, r := range inOrder(s.runs) {
 		if r.state == stateStarting || r.state == stateRunning {
 			left := r.sent.Add(r.expected + lookSlack).Sub(now)
 			if left < 0 {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -126,7 +126,7 @@
 	case o.result.Status == 0:
 		s.report.Cut++
 	}
-	if s.Planned && (o.result.Status == 0 || o.result.Tries > 1) {
+	if s.Planned && o.result.Cut > 0 {
 		s.fail("job %s was cut by planned work: %+v", o.id, o.result)
 	}
 	if o.calm {
--- a/trace/line.go
+++ b/trace/line.go
@@ -63,8 +63,12 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s %d %s", l.Time.Format("15:04:05.000"), l.Host, l.Event, l.Name)
 	for _, f := range []struct{ name, value string }{
-		{"Change", l.Change}, {"Outcome", l.Outcome}, {"Task", l.Task}, {"BackendServer", l.BackendServer},
-		{"Placer", l.Placer}, {"Reason", l.Reason},
+		{"Change", l.Change},
+		{"Outcome", l.Outcome},
+		{"Task", l.Task},
+		{"BackendServer", l.BackendServer},
+		{"Placer", l.Placer},
+		{"Reason", l.Reason},
 	} {
 		if f.value != "" {
 			fmt.Fprintf(&b, " %s=%q", f.name, f.value)
@@ -74,8 +78,13 @@
 		name  string
 		value int64
 	}{
-		{"Run", int64(l.Run)}, {"Epoch", int64(l.Epoch)}, {"TookMs", l.TookMs}, {"WaitMs", l.WaitMs},
-		{"Waiting", int64(l.Waiting)}, {"Servers", int64(l.Servers)}, {"LeftOut", l.LeftOut},
+		{"Run", int64(l.Run)},
+		{"Epoch", int64(l.Epoch)},
+		{"TookMs", l.TookMs},
+		{"WaitMs", l.WaitMs},
+		{"Waiting", int64(l.Waiting)},
+		{"Servers", int64(l.Servers)},
+		{"LeftOut", l.LeftOut},
 	} {
 		if f.value != 0 {
 			fmt.Fprintf(&b, " %s=%d", f.name, f.value)
