--- /dev/null
+++ b/core/found_test.go
@@ -0,0 +1,56 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestFounding(t *testing.T) {
+	tests := map[string]struct {
+		hosts int // beside the seeds
+		lost  int // that lose their disks at the same time, which the rest bears
+	}{
+		"the seeds alone":      {lost: 1},
+		"twice the seeds":      {hosts: 3, lost: 2},
+		"eight hosts":          {hosts: 5, lost: 3},
+		"four, an even number": {hosts: 1, lost: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				w := newWorld(t, seed)
+				for i := range tt.hosts {
+					w.addHost(fmt.Sprintf("d%d", i), true)
+				}
+				if !w.settled(10 * time.Second) {
+					t.Fatalf("seed %d: the core doesn't begin", seed)
+				}
+				for name, h := range w.hosts {
+					if got := len(h.node.members); got != len(names)+tt.hosts {
+						t.Fatalf("seed %d: %s knows %d members", seed, name, got)
+					}
+				}
+				w.putAll()
+				for i := range tt.lost {
+					h := w.hosts[names[(i+int(seed))%len(names)]]
+					h.crash()
+					h.wipe()
+				}
+				if !w.settled(8 * time.Second) {
+					t.Fatalf("seed %d: the core doesn't answer without %d members", seed, tt.lost)
+				}
+				for _, name := range names {
+					if h := w.hosts[name]; !h.up {
+						h.boot(false)
+					}
+				}
+				w.run(4 * time.Second)
+				w.putAll()
+				if w.acked == 0 || t.Failed() {
+					t.Fatalf("seed %d: acknowledged up to %d", seed, w.acked)
+				}
+			}
+		})
+	}
+}
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -101,17 +101,44 @@
 	if len(p.waiting) > busyJobs {
 		margin = busyMargin
 	}
+	o := p.options(t, margin, now)
+	left := t.job.Came.Add(t.job.Objective).Sub(now)
+	switch {
+	case o.first.server == nil:
+		return nil, false
+	case o.frugal.server != nil && p.scarce(o.first.server):
+		return o.frugal.server, true
+	case o.frugal.server == nil && time.Duration(margin*float64(o.fastest)) < left-waitForFast:
+		return nil, true
+	default:
+		return o.first.server, true
+	}
+}
+
+// options are the servers between which a task has the choice.
+type options struct {
+	first   option        // on which it ends first
+	frugal  option        // the slowest that suffices
+	fastest time.Duration // run time on the fastest server, with room or without
+}
+
+// option is a server with room for a task, and how long the task would run there.
+type option struct {
+	server   *server
+	expected time.Duration
+}
+
+// options looks at all servers. One suffices if it leaves a margin.
+func (p *Placer) options(t *task, margin float64, now time.Time) options {
+	var all options
 	left := t.job.Came.Add(t.job.Objective).Sub(now)
-	suffices := func(e time.Duration) bool { return time.Duration(margin*float64(e)) <= left }
-	var first, frugal option
-	var fastest time.Duration
 	for _, s := range p.order {
 		if s.Service != t.job.Service || !s.usable(now) || !p.allowed(t, s) {
 			continue
 		}
 		o := option{server: s, expected: p.speeds.expected(t.job.Demand.Expected, s)}
-		if fastest == 0 || o.expected < fastest {
-			fastest = o.expected
+		if all.fastest == 0 || o.expected < all.fastest {
+			all.fastest = o.expected
 		}
 		if !s.hasRoom(t.job.Demand) {
 			continue
@@ -119,31 +146,29 @@
 		if s.Name == t.avoid {
 			o.expected *= standFactor
 		}
-		if first.server == nil || o.expected < first.expected || (o.expected == first.expected && better(s, first.server)) {
-			first = o
+		if o.before(all.first) {
+			all.first = o
 		}
-		if suffices(o.expected) && (frugal.server == nil || o.expected > frugal.expected || (o.expected == frugal.expected && better(s, frugal.server))) {
-			frugal = o
+		if time.Duration(margin*float64(o.expected)) <= left && (all.frugal.server == nil || all.frugal.before(o)) {
+			all.frugal = o
 		}
 	}
+	return all
+}
+
+// before tells whether a task is better off here, if there is another option.
+// Among servers that are equally fast the fuller one leaves more room elsewhere.
+func (o option) before(other option) bool {
 	switch {
-	case first.server == nil:
-		return nil, false
-	case frugal.server != nil && p.scarce(first.server):
-		return frugal.server, true
-	case frugal.server == nil && suffices(fastest+waitForFast):
-		return nil, true
+	case other.server == nil:
+		return true
+	case o.expected != other.expected:
+		return o.expected < other.expected
 	default:
-		return first.server, true
+		return o.server.CPU-o.server.used.CPU < other.server.CPU-other.server.used.CPU
 	}
 }
 
-// option is a server with room for a task, and how long the task would run there.
-type option struct {
-	server   *server
-	expected time.Duration
-}
-
 // scarce tells whether little room is left on servers of the kind.
 func (p *Placer) scarce(of *server) bool {
 	all, used := int64(0), int64(0)
@@ -156,15 +181,6 @@
 	return float64(used) > scarceShare*float64(all)
 }
 
-// better orders servers that are equally fast.
-func better(a, b *server) bool {
-	left, right := a.CPU-a.used.CPU, b.CPU-b.used.CPU
-	if left != right {
-		return left < right
-	}
-	return a.Name < b.Name
-}
-
 // allowed tells whether the job's own demands let the task run on the server.
 func (p *Placer) allowed(t *task, s *server) bool {
 	d := t.job.Demand
--- a/runs/stall.go
+++ b/runs/stall.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	stallGap  = 300 * time.Millisecond // without any input, though Tick comes every 20 ms
+	stallGap  = 200 * time.Millisecond // without any input, though Tick comes every 20 ms: half of what it takes to be superseded
 	stallWait = 200 * time.Millisecond // in which servers answer, before a placer that stood still starts anything
 )
 
