Give each task the server on which it ends first again, and keep looks long in calm

Change: no room is left to others any more; a task still waits for a faster server when only that suffices. Looks are kept short only within 3 s of an order without an answer. Ruled out: another threshold (0.85 of the room in use instead of 0.6).

--- a/runs/look.go
+++ b/runs/look.go
@@ -49,6 +49,7 @@
 }
 
 func (p *Placer) noAnswer(s *server, o Outcome, now time.Time) {
+	p.unsureUntil = now.Add(unsureTime)
 	s.retryAt = now.Add(lookRetry)
 	if now.Sub(s.answered) < silentAfter {
 		return
--- a/runs/order.go
+++ b/runs/order.go
@@ -46,6 +46,7 @@
 	case OutcomeTaken:
 		r.state, r.began, r.checked = stateRunning, now, now
 	case OutcomeUnknown:
+		p.unsureUntil = now.Add(unsureTime)
 		s.pausedUntil = now.Add(silencePause)
 		r.state, r.checked = stateDoubtful, now
 		s.lookNow = true
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -26,17 +26,18 @@
 	resumeAt time.Time // latest, after the placer stood still
 	whole    bool      // the servers used by the placer before are known
 
-	servers map[string]*server
-	order   []*server // the same, by name
-	jobs    map[string]*job
-	waiting []*job // jobs with tasks that wait for a server, most urgent first
-	again   []*job // jobs that wait for what earlier placers left
-	ended   map[string]endedJob
-	found   map[string]foundEnd // ends of runs of earlier placers, by task
-	speeds  speeds
-	full    map[string]int64 // least processor time of a task that found no room now, by service
-	seq     uint64
-	out     Output
+	servers     map[string]*server
+	order       []*server // the same, by name
+	jobs        map[string]*job
+	waiting     []*job // jobs with tasks that wait for a server, most urgent first
+	again       []*job // jobs that wait for what earlier placers left
+	ended       map[string]endedJob
+	found       map[string]foundEnd // ends of runs of earlier placers, by task
+	speeds      speeds
+	unsureUntil time.Time        // orders got no answer lately
+	full        map[string]int64 // least processor time of a task that found no room now, by service
+	seq         uint64
+	out         Output
 }
 
 type job struct {
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -10,13 +10,12 @@
 const lateFactor = 3
 
 const (
-	frugalMargin = 1.3                   // times the expected run time that has to be left for a server to suffice: tasks of a job differ
+	quietMargin  = 1.3                   // times the expected run time that has to be left for a server to suffice: tasks of a job differ
 	busyMargin   = 1.0                   // the same while jobs wait
 	busyJobs     = 2                     // jobs that wait, above which servers are busy
 	roughShare   = 0.2                   // of the declared run time, by which it is commonly wrong
 	waitForFast  = 50 * time.Millisecond // that has to be left to wait for a faster server: one is free within a few
 	priorityStep = 80 * time.Millisecond // by which a job yields to one of the next priority: most objectives leave twice that
-	scarceShare  = 0.6                   // of the room of a kind in use, above which it is scarce
 )
 
 // useful returns until when since it came a job has to begin to be of use.
@@ -91,54 +90,43 @@
 	}
 }
 
-// choose returns the server with room on which the task ends first. While the
-// room of faster servers is scarce it is left to tasks that need it: a task gets
-// the slowest server that suffices for the objective of its job. A task for which
-// only a faster server suffices waits for one while it can. Room tells whether any
-// server had room.
+// choose returns the server with room on which the task ends first. A task for
+// which only a faster server suffices waits for one while it can. Room tells
+// whether any server had room.
 func (p *Placer) choose(t *task, now time.Time) (s *server, room bool) {
-	margin := frugalMargin
+	margin := quietMargin
 	if len(p.waiting) > busyJobs {
 		margin = busyMargin
 	}
-	o := p.options(t, margin, now)
 	left := t.job.Came.Add(t.job.Objective).Sub(now)
+	suffices := func(expected, left time.Duration) bool { return time.Duration(margin*float64(expected)) <= left }
+	first, fastest := p.options(t, now)
 	switch {
-	case o.first.server == nil:
+	case first.server == nil:
 		return nil, false
-	case o.frugal.server != nil && p.scarce(o.first.server):
-		return o.frugal.server, true
-	case o.frugal.server == nil && time.Duration(margin*float64(o.fastest)) < left-waitForFast:
+	case !suffices(first.expected, left) && suffices(fastest, left-waitForFast):
 		return nil, true
 	default:
-		return o.first.server, true
+		return first.server, true
 	}
 }
 
-// options are the servers between which a task has the choice.
-type options struct {
-	first   option        // on which it ends first
-	frugal  option        // the slowest that suffices
-	fastest time.Duration // run time on the fastest server, with room or without
-}
-
 // option is a server with room for a task, and how long the task would run there.
 type option struct {
 	server   *server
 	expected time.Duration
 }
 
-// options looks at all servers. One suffices if it leaves a margin.
-func (p *Placer) options(t *task, margin float64, now time.Time) options {
-	var all options
-	left := t.job.Came.Add(t.job.Objective).Sub(now)
+// options returns the best server with room, and the run time on the fastest one,
+// with room or without.
+func (p *Placer) options(t *task, now time.Time) (first option, fastest time.Duration) {
 	for _, s := range p.order {
 		if s.Service != t.job.Service || !s.usable(now) || !p.allowed(t, s) {
 			continue
 		}
 		o := option{server: s, expected: p.speeds.expected(t.job.Demand.Expected, s)}
-		if all.fastest == 0 || o.expected < all.fastest {
-			all.fastest = o.expected
+		if fastest == 0 || o.expected < fastest {
+			fastest = o.expected
 		}
 		if !s.hasRoom(t.job.Demand) {
 			continue
@@ -146,14 +134,11 @@
 		if s.Name == t.avoid {
 			o.expected *= standFactor
 		}
-		if o.before(all.first) {
-			all.first = o
-		}
-		if time.Duration(margin*float64(o.expected)) <= left && (all.frugal.server == nil || all.frugal.before(o)) {
-			all.frugal = o
+		if o.before(first) {
+			first = o
 		}
 	}
-	return all
+	return first, fastest
 }
 
 // before tells whether a task is better off here, if there is another option.
@@ -169,18 +154,6 @@
 	}
 }
 
-// scarce tells whether little room is left on servers of the kind.
-func (p *Placer) scarce(of *server) bool {
-	all, used := int64(0), int64(0)
-	for _, s := range p.order {
-		if s.Service == of.Service && s.Kind() == of.Kind() {
-			all += s.CPU
-			used += s.used.CPU
-		}
-	}
-	return float64(used) > scarceShare*float64(all)
-}
-
 // allowed tells whether the job's own demands let the task run on the server.
 func (p *Placer) allowed(t *task, s *server) bool {
 	d := t.job.Demand
--- a/runs/server.go
+++ b/runs/server.go
@@ -11,6 +11,7 @@
 
 const (
 	lookWait     = 250 * time.Millisecond  // a look waits so long for an end: three fit into a lease
+	unsureTime   = 3 * time.Second         // after an order without an answer, in which looks are kept short
 	lookLeast    = 20 * time.Millisecond   // a look waits at least so long, so that a run that is overdue isn't asked for all the time
 	lookSlack    = 10 * time.Millisecond   // after the expected end of a run
 	lookRetry    = 20 * time.Millisecond   // before a server that left a look unanswered is looked at again
@@ -256,7 +257,10 @@
 		p.seq++
 		look := Look{Server: s.Server, Seq: p.seq, Cursor: s.cursor, Fence: p.epoch, Deadline: s.grant(now)}
 		if len(s.runs) > 0 && s.known && !s.silent && !s.lookNow {
-			look.Wait = s.nextEnd(now)
+			look.Wait = lookWait
+			if now.Before(p.unsureUntil) {
+				look.Wait = s.nextEnd(now)
+			}
 		}
 		s.looking, s.told, s.lookNow = p.seq, s.cursor, false
 		p.out.Looks = append(p.out.Looks, look)
