Forget ends that no job waits for, servers that left, and jobs that came too early

Found on reading: these three tables of a placer only grew, with each run that ends after its job was withdrawn, each server that leaves, and each job that is handed to a host which never places. Behaviour within the ages stays.

--- a/placer/node.go
+++ b/placer/node.go
@@ -158,6 +158,7 @@
 }
 
 func (n *Node) tick(now time.Time) {
+	n.prune(now)
 	if n.placer == nil {
 		return
 	}
@@ -187,7 +188,7 @@
 	n.placer.TakeOver(slices.Collect(maps.Values(n.servers)), now)
 	n.version, n.changed, n.hosts = 1, map[string]change{}, map[string]*host{}
 	for name, s := range n.servers {
-		n.changed[name] = change{version: 1, server: s}
+		n.changed[name] = change{version: 1, server: s, at: now}
 	}
 	n.Hooks.Began(p, len(n.servers))
 	waiting := n.early
@@ -271,7 +272,7 @@
 	}
 	if !known || s.Left || old.Born != s.Born || old.Draining != s.Draining || old.Address != s.Address {
 		n.version++
-		n.changed[s.Name] = change{version: n.version, server: s}
+		n.changed[s.Name] = change{version: n.version, server: s, at: now}
 	}
 	n.placer.Report(s, now)
 	return Noted{Taken: true}
--- a/placer/table.go
+++ b/placer/table.go
@@ -1,7 +1,9 @@
 package placer
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"dogwoodrock.example/dogwoodrock/model"
@@ -12,6 +14,17 @@
 type change struct {
 	version uint64
 	server  model.Server
+	at      time.Time
+}
+
+// leftMemory is how long a server that left stays in the table, for hosts that
+// missed it: some pulses.
+const leftMemory = 10 * time.Second
+
+// prune forgets servers that left and jobs that came too early.
+func (n *Node) prune(now time.Time) {
+	maps.DeleteFunc(n.changed, func(_ string, c change) bool { return c.server.Left && now.Sub(c.at) > leftMemory })
+	n.early = slices.DeleteFunc(n.early, func(e early) bool { return now.Sub(e.came) > earlyTime })
 }
 
 // pulse notes that an entry host lives, and which version of the table it has.
--- a/runs/look.go
+++ b/runs/look.go
@@ -139,14 +139,14 @@
 func (p *Placer) endListed(s *server, e Ended, now time.Time) {
 	r, ok := s.runs[e.Task]
 	if !ok || r.number != e.Run {
-		p.found[e.Task] = foundEnd{run: e.Run, how: e.How}
+		p.found[e.Task] = foundEnd{run: e.Run, how: e.How, at: now}
 		return
 	}
 	s.free(r)
 	t := r.task
 	if t == nil {
 		if e.How == HowDone {
-			p.found[e.Task] = foundEnd{run: e.Run, how: e.How}
+			p.found[e.Task] = foundEnd{run: e.Run, how: e.How, at: now}
 		}
 		return
 	}
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"maps"
 	"strconv"
 	"time"
 
@@ -13,7 +14,7 @@
 	clockRate    = 0.98                    // a server's clock runs at least at this rate
 	settleTime   = 1100 * time.Millisecond // in which the last lease of an earlier placer ends on a slow clock
 	orphanTime   = 700 * time.Millisecond  // in which a run that was found has to be claimed by an entry host
-	endedMemory  = 3 * time.Second         // how long the end of a job is remembered for a resend
+	endedMemory  = 3 * time.Second         // how long the ends of jobs, and of runs without a job, are remembered for a resend
 	forgetServer = 10 * time.Second        // after which a server that no one hears of is dropped
 )
 
@@ -32,7 +33,7 @@
 	waiting     []*job // jobs with tasks that wait for a server, most urgent first
 	again       []*job // jobs that wait for what earlier placers left
 	ended       map[string]endedJob
-	found       map[string]foundEnd // ends of runs of earlier placers, by task
+	found       map[string]foundEnd // ends of runs that no job here waited for, by task
 	speeds      speeds
 	unsureUntil time.Time        // orders got no answer lately
 	full        map[string]int64 // least processor time of a task that found no room now, by service
@@ -69,6 +70,7 @@
 type foundEnd struct {
 	run int
 	how How
+	at  time.Time
 }
 
 // New returns a placer without servers and jobs. Whole tells that TakeOver will
@@ -202,11 +204,8 @@
 		p.tickServer(s, now)
 	}
 	p.expire(now)
-	for id, e := range p.ended {
-		if now.Sub(e.at) > endedMemory {
-			delete(p.ended, id)
-		}
-	}
+	maps.DeleteFunc(p.ended, func(_ string, e endedJob) bool { return now.Sub(e.at) > endedMemory })
+	maps.DeleteFunc(p.found, func(_ string, e foundEnd) bool { return now.Sub(e.at) > endedMemory })
 }
 
 // settle lets the jobs of earlier placers go on once it is known what runs.
--- a/runs/server.go
+++ b/runs/server.go
@@ -32,7 +32,7 @@
 	spread bool            // the next placer would know of it
 	heard  time.Time       // last report or answer
 	known  bool            // looked at under this epoch
-	silent bool            // the last look got no answer
+	silent bool            // looks have failed for a while
 	runs   map[string]*run // by task; all of them take room
 	used   model.Demand
 
--- a/runs/world_run_test.go
+++ b/runs/world_run_test.go
@@ -150,6 +150,26 @@
 	}
 }
 
+// TestFoundEndsAreForgotten lists ends that no job waits for, again and again.
+func TestFoundEndsAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(1, true, now)
+	p.TakeOver([]model.Server{{Name: "s", Service: "svc", Born: 1, CPU: 1000}}, now)
+	for n := range uint64(100) {
+		for _, l := range p.Drain(now).Looks {
+			p.Looked(Seen{
+				Server: "s", Seq: l.Seq, Outcome: OutcomeTaken, Clock: 5, Born: 1, Sent: now,
+				Ended: []Ended{{N: n + 1, Task: fmt.Sprintf("%d.0.0.0", n), Run: 1, How: HowDone}},
+			}, now)
+		}
+		now = now.Add(100 * time.Millisecond)
+		p.Tick(now)
+	}
+	if most := int(endedMemory/(100*time.Millisecond)) + 1; len(p.found) > most {
+		t.Fatalf("%d ends are remembered, want at most %d", len(p.found), most)
+	}
+}
+
 // TestStalledPlacer has a placer stand still while a task waits. Another host may
 // place since then, and a server that was restarted doesn't know its fence.
 func TestStalledPlacer(t *testing.T) {
