--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,19 +8,36 @@
 	"time"
 )
 
+// seedCase is a seed that is played.
+type seedCase struct {
+	seed     uint64
+	duration time.Duration
+	planned  bool
+}
+
 // TestSeeds plays seeds with the daemon as it is in this tree. Seeds that ever
 // failed stay here.
 func TestSeeds(t *testing.T) {
+	playSeeds(t, map[string]seedCase{
+		"faults": {seed: 1, duration: 6 * time.Second},
+		"planned work only, where clients once counted refused connections as cut requests": {seed: 4, duration: 6 * time.Second, planned: true},
+	})
+}
+
+// TestOpenSeeds plays seeds on which a job is answered 504 after a planned stop:
+// the core gives the placing to a host that has just started and doesn't have the
+// table of servers, so that the job waits until it is of no use.
+func TestOpenSeeds(t *testing.T) {
+	playSeeds(t, map[string]seedCase{
+		"a placer that has just started takes over":       {seed: 8, duration: 15 * time.Second, planned: true},
+		"a placer that has just started takes over again": {seed: 12, duration: 15 * time.Second, planned: true},
+	})
+}
+
+func playSeeds(t *testing.T, tests map[string]seedCase) {
 	if testing.Short() {
 		t.Skip("runs nine processes for half a minute a seed")
 	}
-	tests := map[string]struct {
-		seed    uint64
-		planned bool
-	}{
-		"faults": {seed: 1},
-		"planned work only, where clients once counted refused connections as cut requests": {seed: 4, planned: true},
-	}
 	daemon := filepath.Join(t.TempDir(), "dogwoodrockd")
 	if out, err := exec.Command("go", "build", "-o", daemon, "../cmd/dogwoodrockd").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
@@ -28,7 +45,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := &Site{Seed: tt.seed, Duration: 6 * time.Second, Daemon: daemon, Folder: t.TempDir(), Planned: tt.planned}
+			s := &Site{Seed: tt.seed, Duration: tt.duration, Daemon: daemon, Folder: t.TempDir(), Planned: tt.planned}
 			r, err := s.Run(context.Background())
 			if err != nil {
 				t.Fatal(err)
