Prefer a host that has the table of servers as the next placer

Ruled out: the entry hosts (they handed over within a millisecond).

Change: a renewal tells the epoch whose table the host has; a host with that of the placement before goes first. fleet.TestWatch fails without it.

--- a/entry/node.go
+++ b/entry/node.go
@@ -160,7 +160,7 @@
 		m.Routes = n.table.Document.Version
 	}
 	if p, ok := n.placements[n.DataCentre]; ok {
-		m.Epoch = p.Epoch
+		m.Epoch = n.tableEpoch
 		if s := n.placers[p.Host]; s != nil && s.silent {
 			m.Suspect = p.Host
 		}
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -194,11 +194,12 @@
 		t.Fatalf("renewals %v while no leader is known, want 2 to each seed", asked)
 	}
 	f.tell(3, "v", placedA)
+	f.Handle(msgs.Pulsed{Host: "p1", Epoch: 4, Servers: 1})
 	f.sent = nil
 	f.wait(fleetRenewals)
 	for _, e := range f.sent {
 		if m, ok := e.Body.(msgs.HostRenew); ok && (e.To != "c1" || m.Routes != 3 || m.Epoch != 4) {
-			t.Fatalf("renewal %+v to %s, want the version and epoch to the leader", m, e.To)
+			t.Fatalf("renewal %+v to %s, want the version and the epoch of the table to the leader", m, e.To)
 		}
 	}
 }
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -75,7 +75,7 @@
 		if w.fit(placed[dc], now) || now.Sub(w.proposed[dc]) < placeRetry {
 			continue
 		}
-		best := w.best(dc, now)
+		best := w.best(dc, placed[dc].Epoch, now)
 		if best == nil {
 			continue
 		}
@@ -98,22 +98,30 @@
 	return silent <= placerSilence
 }
 
-// best returns the host of a data centre with the most processor time, of those
-// that renewed within the last interval or so.
-func (w *Watch) best(dc string, now time.Time) *watched {
+// best returns the host of a data centre that places best, of those that renewed
+// within the last interval or so: one that has the table of backend servers of the
+// epoch before goes first, as it can take over at once, then the most processor time.
+func (w *Watch) best(dc string, before uint64, now time.Time) *watched {
 	var best *watched
 	for _, name := range slices.Sorted(maps.Keys(w.hosts)) {
 		h := w.hosts[name]
 		if h.renew.DataCentre != dc || h.renew.Leaving || now.Sub(h.seen) > suspectSilence {
 			continue
 		}
-		if best == nil || h.renew.Capacity > best.renew.Capacity {
+		if best == nil || h.placesBetter(best, before) {
 			best = h
 		}
 	}
 	return best
 }
 
+func (h *watched) placesBetter(than *watched, before uint64) bool {
+	if has := h.renew.Epoch == before; has != (than.renew.Epoch == before) {
+		return has
+	}
+	return h.renew.Capacity > than.renew.Capacity
+}
+
 func (w *Watch) dataCentres() []string {
 	names := map[string]bool{}
 	for _, h := range w.hosts {
--- a/fleet/watch_test.go
+++ b/fleet/watch_test.go
@@ -34,6 +34,8 @@
 	leaving.Leaving, restarted.Incarnation = true, 2
 	suspects := host("h2", 300)
 	suspects.Suspect = "h1"
+	hasTable := host("h3", 100)
+	hasTable.Epoch = 5
 	both := slices.Concat(renewals(0, 2*time.Second, host("h1", 900)), renewals(0, 2*time.Second, host("h2", 300)))
 	tests := map[string]struct {
 		steps   []step
@@ -50,7 +52,10 @@
 		"one that others suspect but that lives": {steps: slices.Concat(renewals(0, 2*time.Second, host("h1", 900)), renewals(0, 2*time.Second, suspects)), current: placed, at: 2 * time.Second},
 		"a planned stop hands over":              {steps: slices.Concat(both, []step{{at: 2 * time.Second, renew: leaving}}), current: placed, at: 2 * time.Second, want: "h2"},
 		"a restarted placer is placed anew":      {steps: slices.Concat(both, []step{{at: 2 * time.Second, renew: restarted}}), current: placed, at: 2 * time.Second, want: "h1"},
-		"nobody is there to take over":           {steps: renewals(0, time.Second, host("h1", 900)), current: placed, at: 3 * time.Second},
+		"a host with the table of servers goes before one with more processor time": {
+			steps: slices.Concat(renewals(0, 2*time.Second, host("h2", 300)), renewals(0, 2*time.Second, hasTable)), current: placed, at: 2 * time.Second, want: "h3",
+		},
+		"nobody is there to take over": {steps: renewals(0, time.Second, host("h1", 900)), current: placed, at: 3 * time.Second},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/msgs/fleet.go
+++ b/msgs/fleet.go
@@ -13,7 +13,7 @@
 	DataCentre  string
 	Capacity    int64  // processor time, thousandths of a core
 	Routes      uint64 // version of the routes in force on the host
-	Epoch       uint64 // highest epoch known to the host
+	Epoch       uint64 // of the placer of its data centre whose table of backend servers it has, 0 for none
 	Leaving     bool   // a planned stop has begun
 	Suspect     string // placer that the host can't reach, empty for none
 }
