--- a/core/hosts.go
+++ b/core/hosts.go
@@ -139,7 +139,7 @@
 
 // joined takes part as the answer says: as a member that lost its state, or in
 // the place of a lost one.
-func (n *Node) joined(m msgs.CoreJoined, _ time.Time) {
+func (n *Node) joined(m msgs.CoreJoined) {
 	if n.replica != nil {
 		return
 	}
--- a/core/node.go
+++ b/core/node.go
@@ -208,7 +208,7 @@
 	case msgs.CoreJoin:
 		n.join(m, now)
 	case msgs.CoreJoined:
-		n.joined(m, now)
+		n.joined(m)
 	case msgs.CoreFound:
 		n.found(m.Members)
 	case msgs.ServerNoted:
--- a/entry/node.go
+++ b/entry/node.go
@@ -287,21 +287,15 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b model.Placement) int {
-		if after := a.DataCentre > n.DataCentre; after != (b.DataCentre > n.DataCentre) {
-			return either(after, -1, 1)
-		}
-		return cmp.Compare(a.DataCentre, b.DataCentre)
+		// Those after the own data centre compare as 1, those before it as -1.
+		return cmp.Or(
+			-cmp.Compare(cmp.Compare(a.DataCentre, n.DataCentre), cmp.Compare(b.DataCentre, n.DataCentre)),
+			cmp.Compare(a.DataCentre, b.DataCentre),
+		)
 	})
 	return list
 }
 
-func either(first bool, a, b int) int {
-	if first {
-		return a
-	}
-	return b
-}
-
 // learnTable passes on what has changed in the table of backend servers, and
 // confirms it at once: the placer may use new servers then.
 func (n *Node) learnTable(m msgs.Pulsed, now time.Time) {
--- a/routes/table.go
+++ b/routes/table.go
@@ -76,12 +76,11 @@
 	Document Document
 
 	byAuthority map[string][]Route // longest prefix first
-	services    map[string]Service
 }
 
 // NewTable returns the table of a valid document.
 func NewTable(d Document) *Table {
-	t := &Table{Document: d, byAuthority: map[string][]Route{}, services: map[string]Service{}}
+	t := &Table{Document: d, byAuthority: map[string][]Route{}}
 	for _, r := range d.Routes {
 		key := strings.ToLower(r.Authority)
 		t.byAuthority[key] = append(t.byAuthority[key], r)
@@ -89,9 +88,6 @@
 	for _, list := range t.byAuthority {
 		slices.SortStableFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	for _, s := range d.Services {
-		t.services[s.Name] = s
-	}
 	return t
 }
 
@@ -105,9 +101,3 @@
 	}
 	return Route{}, "", false
 }
-
-// Serves tells whether the document lists a service.
-func (t *Table) Serves(service string) bool {
-	_, ok := t.services[service]
-	return ok
-}
--- a/runs/admit.go
+++ b/runs/admit.go
@@ -30,7 +30,7 @@
 func (p *Placer) wait(j *job, now time.Time) time.Duration {
 	rate, room := p.rate(j, now)
 	ahead := time.Duration(0)
-	due := j.Came.Add(j.Objective - j.Demand.Expected)
+	due := j.latestStart()
 	for _, other := range p.waiting {
 		if other.Service == j.Service && !other.due.After(due) && !other.late(now) {
 			ahead += other.work()
@@ -50,11 +50,8 @@
 		if s.Service != j.Service || !s.usable(now) || !fits(j.Demand, s) {
 			continue
 		}
-		if s.speed == nil {
-			p.speeds.refresh(s)
-		}
 		slots := s.slots(j.Demand)
-		rate += float64(slots) / s.factor
+		rate += float64(slots) / p.speeds.factorOf(s)
 		room += max(slots-int64(len(s.runs)), 0)
 	}
 	return rate, room
--- a/runs/look.go
+++ b/runs/look.go
@@ -22,7 +22,7 @@
 		s.retryAt = now.Add(lookRetry)
 		return
 	case OutcomeGone:
-		p.lose(s, "another process answers", now)
+		p.lose(s, "another process answers")
 		return
 	default:
 		p.noAnswer(s, m.Outcome, now)
@@ -83,7 +83,7 @@
 			p.stop(r, now) // its start may still arrive
 			continue
 		}
-		p.vanished(r, "not listed", now)
+		p.vanished(r, "not listed")
 	}
 }
 
@@ -127,7 +127,6 @@
 		s.take(r)
 		t.run, t.last = r, r.number
 		t.job.idle--
-		t.job.running++
 		t.job.began = true
 		p.event(Event{Kind: EventAdopted, Job: t.job.ID, Task: t.name, Run: r.number, Server: s.Name})
 		return true
@@ -151,7 +150,6 @@
 		return
 	}
 	t.run = nil
-	t.job.running--
 	took := now.Sub(r.startedAt())
 	p.event(Event{Kind: EventEnded, Job: t.job.ID, Task: t.name, Run: r.number, Server: s.Name, Reason: e.How.String(), Took: took, Expected: r.expected})
 	switch e.How {
@@ -171,27 +169,26 @@
 			p.fail(t.job, now)
 			return
 		}
-		p.retry(t, "failed", now)
+		p.retry(t, "failed")
 	default:
-		p.retry(t, e.How.String(), now)
+		p.retry(t, e.How.String())
 	}
 }
 
 // vanished takes a run that the server can't be running any more.
-func (p *Placer) vanished(r *run, reason string, now time.Time) {
+func (p *Placer) vanished(r *run, reason string) {
 	r.server.free(r)
 	t := r.task
 	if t == nil || t.run != r {
 		return
 	}
 	t.run = nil
-	t.job.running--
 	t.avoid = r.server.Name
-	p.retry(t, reason, now)
+	p.retry(t, reason)
 }
 
 // retry lets a task wait for a server again.
-func (p *Placer) retry(t *task, reason string, _ time.Time) {
+func (p *Placer) retry(t *task, reason string) {
 	p.event(Event{Kind: EventRetried, Job: t.job.ID, Task: t.name, Run: t.last, Reason: reason})
 	t.job.idle++
 	if t.job.idle == 1 {
--- a/runs/order.go
+++ b/runs/order.go
@@ -15,7 +15,6 @@
 	}
 	t.run = r
 	t.job.idle--
-	t.job.running++
 	t.job.began = true
 	s.take(r)
 	p.out.Starts = append(p.out.Starts, Start{
@@ -71,19 +70,18 @@
 			r.task.last *= 2 // how high the earlier run was isn't told
 		}
 	case OutcomeGone:
-		defer p.lose(s, "another process answers", now)
+		defer p.lose(s, "another process answers")
 	}
 	t := r.task
 	if t == nil || t.run != r {
 		return
 	}
 	t.run = nil
-	t.job.running--
 	if o == OutcomeInvalid {
 		p.fail(t.job, now)
 		return
 	}
-	p.retry(t, o.String(), now)
+	p.retry(t, o.String())
 }
 
 // stop ends a run. Its room stays booked until the server lists its end.
@@ -117,7 +115,7 @@
 	case OutcomeFenced:
 		p.out.Fenced = true
 	case OutcomeGone:
-		p.lose(s, "another process answers", now)
+		p.lose(s, "another process answers")
 	}
 }
 
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -43,13 +43,12 @@
 
 type job struct {
 	Job
-	tasks   []task
-	open    int       // tasks that are not done
-	idle    int       // tasks that wait for a server
-	running int       // tasks with a run
-	due     time.Time // latest start that meets the objective
-	order   time.Time // place in the queue
-	began   bool      // a task was started
+	tasks []task
+	open  int       // tasks that are not done
+	idle  int       // tasks that wait for a server
+	due   time.Time // latest start that meets the objective
+	order time.Time // place in the queue
+	began bool      // a task was started
 }
 
 type task struct {
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -23,10 +23,15 @@
 	return min(lateFactor*j.Objective, j.Expires) - j.Demand.Expected
 }
 
+// latestStart returns when the job has to begin to meet its objective.
+func (j *job) latestStart() time.Time {
+	return j.Came.Add(j.Objective - j.Demand.Expected)
+}
+
 // enqueue puts a job among those that wait, by the latest start that meets its
 // objective, which counts as later the less its priority is.
 func (p *Placer) enqueue(j *job) {
-	j.due = j.Came.Add(j.Objective - j.Demand.Expected)
+	j.due = j.latestStart()
 	j.order = j.due.Add(time.Duration(j.Priority) * priorityStep)
 	i, _ := slices.BinarySearchFunc(p.waiting, j, func(a, b *job) int { return a.order.Compare(b.order) })
 	p.waiting = slices.Insert(p.waiting, i, j)
--- a/runs/server.go
+++ b/runs/server.go
@@ -157,12 +157,12 @@
 }
 
 // lose forgets a server whose process has ended, and with it all its runs.
-func (p *Placer) lose(s *server, reason string, now time.Time) {
+func (p *Placer) lose(s *server, reason string) {
 	delete(p.servers, s.Name)
 	p.order = slices.DeleteFunc(slices.Clone(p.order), func(other *server) bool { return other == s })
 	p.event(Event{Kind: EventLost, Server: s.Name, Reason: reason})
 	for _, r := range inOrder(s.runs) {
-		p.vanished(r, reason, now)
+		p.vanished(r, reason)
 	}
 }
 
@@ -228,11 +228,11 @@
 func (p *Placer) tickServer(s *server, now time.Time) {
 	if s.silent && len(s.runs) > 0 && s.lapsed(now) {
 		for _, r := range inOrder(s.runs) {
-			p.vanished(r, "lease over", now)
+			p.vanished(r, "lease over")
 		}
 	}
 	if len(s.runs) == 0 && now.Sub(s.heard) > forgetServer {
-		p.lose(s, "not heard of", now)
+		p.lose(s, "not heard of")
 		return
 	}
 	for _, r := range inOrder(s.runs) {
@@ -271,7 +271,7 @@
 // so that a look that gets lost is missed soon after.
 func (s *server) nextEnd(now time.Time) time.Duration {
 	wait := lookWait
-	for _, r := range inOrder(s.runs) {
+	for _, r := range s.runs {
 		if r.state == stateStarting || r.state == stateRunning {
 			left := r.sent.Add(r.expected + lookSlack).Sub(now)
 			if left < 0 {
--- a/runs/speed.go
+++ b/runs/speed.go
@@ -61,10 +61,15 @@
 	if declared <= 0 {
 		declared = unknownRun
 	}
+	return time.Duration(float64(declared) * v.factorOf(s))
+}
+
+// factorOf returns the run times on a server over declared ones.
+func (v *speeds) factorOf(s *server) float64 {
 	if s.speed == nil {
 		v.refresh(s)
 	}
-	return time.Duration(float64(declared) * s.factor)
+	return s.factor
 }
 
 // learn takes in how long a task ran.
--- a/runs/types.go
+++ b/runs/types.go
@@ -173,11 +173,10 @@
 
 // Output is what followed from the inputs since the last Drain.
 type Output struct {
-	Starts   []Start
-	Stops    []Stop
-	Looks    []Look
-	Ends     []End
-	Events   []Event
-	Fenced   bool // a server follows a later placer
-	NextWake time.Time
+	Starts []Start
+	Stops  []Stop
+	Looks  []Look
+	Ends   []End
+	Events []Event
+	Fenced bool // a server follows a later placer
 }
--- a/trace/line.go
+++ b/trace/line.go
@@ -21,19 +21,15 @@
 	Run           int
 	BackendServer string
 	Placer        string
-	DataCentre    string
 	Epoch         uint64
 	Change        string
 	Outcome       string
 	Reason        string
-	Route         string
 	TookMs        int64
 	WaitMs        int64
 	Waiting       int
 	Servers       int
 	LeftOut       int64
-
-	Text string `json:"-"` // as it was logged, from its first brace
 }
 
 // maxLine is the longest line that is read, in bytes.
@@ -52,7 +48,6 @@
 			ignored++
 			continue
 		}
-		l.Text = string(text[at:])
 		lines = append(lines, l)
 	}
 	return lines, ignored, s.Err()
--- a/trace/story.go
+++ b/trace/story.go
@@ -17,15 +17,13 @@
 	Deciding int    // position of the line that decided the end, -1 for none
 }
 
-// weights order the lines by how much they say of why a job ended as it did.
+// weights order the lines by how much they say of why a job ended as it did; all
+// others weigh nothing.
 var weights = map[int]int{
-	events.JobAnswered.Code:   1,
-	events.JobRehanded.Code:   4,
-	events.CallerLeft.Code:    3,
-	events.PlacerSilent.Code:  5,
-	events.PlacingEnded.Code:  5,
-	events.PlacingBegan.Code:  0,
-	events.ServerChanged.Code: 0,
+	events.JobAnswered.Code:  1,
+	events.JobRehanded.Code:  4,
+	events.CallerLeft.Code:   3,
+	events.PlacerSilent.Code: 5,
 }
 
 // Of returns the story of a job.
