--- a/events/hosted.go
+++ b/events/hosted.go
@@ -115,8 +115,8 @@
 		Action:  "Refused: the reason names what was missing. Failed: see its runs.",
 	}
 	RunChanged = Event{
-		Code: 634, Name: "RunChanged", Level: zerolog.InfoLevel, Fields: []string{"Change", "Job", "Task", "Run", "BackendServer", "Reason", "TookMs", "ExpectedMs"},
-		Meaning: "A run was started, ended, adopted from an earlier placer, or its task waits again.",
+		Code: 634, Name: "RunChanged", Level: zerolog.InfoLevel, Fields: []string{"Change", "Epoch", "Job", "Task", "Run", "BackendServer", "Reason", "TookMs", "ExpectedMs"},
+		Meaning: "A run was started, ended, adopted from an earlier placer or ordered to stop, or its task waits again. Rejoined: another entry host, the Reason, waits for the job too. Besides: a run was found beside another one of its task.",
 		Action:  "Look at the backend server when runs fail or vanish on it.",
 	}
 	ServerChanged = Event{
--- a/hosted/hooks.go
+++ b/hosted/hooks.go
@@ -107,7 +107,7 @@
 		Hand: func(m msgs.JobHand) {
 			h.Log.At(events.JobHanded).Str("Job", m.Job).Str("From", m.Host).Bool("Again", m.Again).Int64("AgeMs", m.Age.Milliseconds()).Send()
 		},
-		Event: h.placed,
+		Event: h.runEvent,
 		End: func(e runs.End) {
 			h.Counts.Placed.WithLabelValues(e.State.String()).Inc()
 			h.Log.At(unless(e.State == model.JobEndComplete, events.JobPlaced)).Str("Job", e.Job).Str("Route", e.Route).Stringer("Outcome", e.State).
@@ -148,23 +148,32 @@
 		h.Counts.Starting.Observe(e.Took.Seconds())
 	case runs.EventEnded:
 		h.Counts.Running.WithLabelValues(e.Reason).Observe(e.Took.Seconds())
+	case runs.EventStopping:
+		h.Counts.RunStops.WithLabelValues(e.Reason).Inc()
+	case runs.EventRejoined:
+		h.Counts.Rejoined.Inc()
+	case runs.EventBesides:
+		h.Counts.Besides.Inc()
 	case runs.EventRetried:
 		h.Counts.RunRetry.WithLabelValues(e.Reason).Inc()
 	}
 }
 
-// placed logs an event of the placer, but for starts and ends as they should be.
-func (h *Host) placed(e runs.Event) {
+// runEvent logs an event of the placer, but for starts and ends as they should be.
+func (h *Host) runEvent(epoch uint64, e runs.Event) {
 	switch e.Kind {
 	case runs.EventSettled:
 		h.Log.At(events.PlacingSettled).Int64("TookMs", e.Took.Milliseconds()).Send()
-	case runs.EventStarted, runs.EventEnded, runs.EventRetried, runs.EventAdopted:
+	case runs.EventStarted, runs.EventEnded, runs.EventRetried, runs.EventAdopted, runs.EventStopping, runs.EventRejoined, runs.EventBesides:
 		h.countRun(e)
 		event := events.RunChanged
 		if e.Reason == runs.OutcomeTaken.String() || e.Reason == runs.HowDone.String() {
 			event.Level = zerolog.DebugLevel
 		}
-		h.Log.At(event).Str("Change", string(e.Kind)).Str("Job", e.Job).Str("Task", e.Task).Int("Run", e.Run).
+		if e.Kind == runs.EventBesides {
+			event.Level = zerolog.ErrorLevel
+		}
+		h.Log.At(event).Str("Change", string(e.Kind)).Uint64("Epoch", epoch).Str("Job", e.Job).Str("Task", e.Task).Int("Run", e.Run).
 			Str("BackendServer", e.Server).Str("Reason", e.Reason).Int64("TookMs", e.Took.Milliseconds()).
 			Int64("ExpectedMs", e.Expected.Milliseconds()).Send()
 	default:
--- a/metric/hosted.go
+++ b/metric/hosted.go
@@ -9,6 +9,9 @@
 	Total     *prometheus.HistogramVec // seconds from a job's arrival to its answer, by Route and Outcome
 	Placed    *prometheus.CounterVec   // jobs that the placer ended, by Outcome
 	RunRetry  *prometheus.CounterVec   // tasks that wait again, by Reason
+	RunStops  *prometheus.CounterVec   // runs ordered to stop, by Reason
+	Besides   prometheus.Counter       // runs found beside another one of their task
+	Rejoined  prometheus.Counter       // jobs for which another entry host waits too
 	Starting  prometheus.Histogram     // seconds until a start was answered
 	Running   *prometheus.HistogramVec // seconds that runs took, by How
 	Servers   *prometheus.CounterVec   // changes of backend servers, by Change
@@ -34,6 +37,9 @@
 		Total:     histograms("Job_seconds", "Time from the arrival of a job to its answer.", "Route", "Outcome"),
 		Placed:    counters("JobsPlaced_total", "Jobs that the placer ended.", "Outcome"),
 		RunRetry:  counters("RunRetries_total", "Tasks that wait for a backend server again.", "Reason"),
+		RunStops:  counters("RunStops_total", "Runs that were ordered to stop.", "Reason"),
+		Besides:   prometheus.NewCounter(prometheus.CounterOpts{Name: "dogwoodrock_RunsBesides_total", Help: "Runs found beside another one of their task."}),
+		Rejoined:  prometheus.NewCounter(prometheus.CounterOpts{Name: "dogwoodrock_JobsRejoined_total", Help: "Jobs for which another entry host waits too."}),
 		Starting:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "dogwoodrock_Start_seconds", Help: "Time until a start was answered.", Buckets: seconds}),
 		Running:   histograms("Run_seconds", "Time that runs took.", "How"),
 		Servers:   counters("ServerChanges_total", "Changes of backend servers.", "Change"),
@@ -49,7 +55,7 @@
 	h.Jobs = gauges("PlacerJobs", "Jobs of the placer on this host.", "State")
 	h.States = gauges("BackendServers", "Backend servers of the placer on this host.", "State")
 	dropped := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "dogwoodrock_LogLinesLeftOut_total", Help: "Log lines left out by the limits or dropped for a slow reader."}, lines)
-	s.registry.MustRegister(h.Answers, h.Total, h.Placed, h.RunRetry, h.Starting, h.Running, h.Servers, h.Rehanded,
+	s.registry.MustRegister(h.Answers, h.Total, h.Placed, h.RunRetry, h.RunStops, h.Besides, h.Rejoined, h.Starting, h.Running, h.Servers, h.Rehanded,
 		h.Epoch, h.Routes, h.Leading, h.CoreLost, h.Committed, h.Copies, h.Behind, h.Jobs, h.States, dropped)
 	return h
 }
--- a/placer/node.go
+++ b/placer/node.go
@@ -33,7 +33,7 @@
 type Hooks struct {
 	Began func(p model.Placement, servers int)
 	Ended func(epoch uint64, reason string, jobs int)
-	Event func(e runs.Event)
+	Event func(epoch uint64, e runs.Event)
 	End   func(e runs.End)
 	Hand  func(m msgs.JobHand)
 	State func(v View) // each second while the host places
--- a/placer/orders.go
+++ b/placer/orders.go
@@ -50,7 +50,7 @@
 		})
 	}
 	for _, e := range out.Events {
-		n.Hooks.Event(e)
+		n.Hooks.Event(n.placer.Epoch(), e)
 	}
 	for _, e := range out.Ends {
 		n.Hooks.End(e)
--- a/runs/look.go
+++ b/runs/look.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"slices"
 	"time"
 )
 
@@ -80,7 +81,7 @@
 			continue
 		}
 		if r.state == stateDoubtful {
-			p.stop(r, now) // its start may still arrive
+			p.stop(r, "start unanswered", now) // it may still arrive
 			continue
 		}
 		p.vanished(r, "not listed")
@@ -93,13 +94,21 @@
 	r := &run{name: a.Task, number: a.Run, server: s, state: stateRunning, sent: now, began: now, checked: now}
 	r.demand.CPU = a.CPU
 	s.take(r)
+	if j, ok := p.jobs[jobOf(r.name)]; ok && j.runs(r.name) {
+		p.event(Event{Kind: EventBesides, Job: j.ID, Task: r.name, Run: r.number, Server: s.Name})
+	}
 	if !first {
-		p.stop(r, now)
+		p.stop(r, "unknown run", now)
 		return
 	}
 	r.stopAt = now.Add(orphanTime)
 }
 
+// runs tells whether a task of the job, by its name, has a run.
+func (j *job) runs(name string) bool {
+	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.name == name && t.run != nil })
+}
+
 // adopt gives a task the run or the end that an earlier placer left. It returns
 // false when that ended the whole job.
 func (p *Placer) adopt(t *task, now time.Time) bool {
--- a/runs/order.go
+++ b/runs/order.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"strings"
 	"time"
 
 	"dogwoodrock.example/dogwoodrock/model"
@@ -85,15 +86,22 @@
 }
 
 // stop ends a run. Its room stays booked until the server lists its end.
-func (p *Placer) stop(r *run, now time.Time) {
+func (p *Placer) stop(r *run, reason string, now time.Time) {
 	if r.state == stateStopping || r.state == stateStopped {
 		return
 	}
+	p.event(Event{Kind: EventStopping, Job: jobOf(r.name), Task: r.name, Run: r.number, Server: r.server.Name, Reason: reason, Took: now.Sub(r.startedAt())})
 	r.state = stateStopping
 	r.checked = time.Time{}
 	p.sendStop(r, now)
 }
 
+// jobOf returns the id of the job that a task belongs to.
+func jobOf(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	return id
+}
+
 func (p *Placer) sendStop(r *run, now time.Time) {
 	r.stopAt = now.Add(stopRetry)
 	p.out.Stops = append(p.out.Stops, Stop{Server: r.server.Server, Task: r.name, Run: r.number, Fence: p.epoch})
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -107,6 +107,7 @@
 func (p *Placer) Submit(j Job, now time.Time) {
 	p.awake(now)
 	if known, ok := p.jobs[j.ID]; ok {
+		p.event(Event{Kind: EventRejoined, Job: j.ID, Reason: j.Host})
 		known.Host, known.Incarnation = j.Host, j.Incarnation
 		known.Came, known.Expires = j.Came, j.Expires
 		return
@@ -152,7 +153,7 @@
 // Withdraw ends a job that nobody waits for any more, unless another host waits.
 func (p *Placer) Withdraw(id, host string, now time.Time) {
 	if j, ok := p.jobs[id]; ok && j.Host == host {
-		p.drop(j, now)
+		p.drop(j, "withdrawn", now)
 	}
 }
 
@@ -161,19 +162,19 @@
 func (p *Placer) HostLost(host string, incarnation uint64, now time.Time) {
 	for _, j := range inOrder(p.jobs) {
 		if j.Host == host && (incarnation == 0 || j.Incarnation != incarnation) {
-			p.drop(j, now)
+			p.drop(j, "entry host lost", now)
 		}
 	}
 }
 
 // drop forgets a job and stops its runs.
-func (p *Placer) drop(j *job, now time.Time) {
+func (p *Placer) drop(j *job, reason string, now time.Time) {
 	delete(p.jobs, j.ID)
 	p.unqueue(j)
 	for i := range j.tasks {
 		if r := j.tasks[i].run; r != nil {
 			r.task = nil
-			p.stop(r, now)
+			p.stop(r, reason, now)
 		}
 	}
 }
@@ -191,7 +192,7 @@
 	if state == model.JobEndComplete || state == model.JobEndFailed {
 		p.ended[j.ID] = endedJob{state: state, at: now}
 	}
-	p.drop(j, now)
+	p.drop(j, "job ended", now)
 }
 
 // Tick does what is due by time.
--- a/runs/server.go
+++ b/runs/server.go
@@ -248,7 +248,7 @@
 			p.sendStop(r, now)
 		case r.state == stateRunning && p.stands(r, now):
 			p.strike(s, "stands still", now)
-			p.stop(r, now)
+			p.stop(r, "stands still", now)
 		}
 	}
 }
--- a/runs/types.go
+++ b/runs/types.go
@@ -149,6 +149,9 @@
 	EventEnded    EventKind = "Ended"    // a run ended
 	EventRetried  EventKind = "Retried"  // a task waits again
 	EventAdopted  EventKind = "Adopted"  // a run of an earlier placer belongs to a job
+	EventStopping EventKind = "Stopping" // a run is ordered to stop
+	EventRejoined EventKind = "Rejoined" // another entry host waits for a job that is known
+	EventBesides  EventKind = "Besides"  // a run was found whose task has another one
 	EventEjected  EventKind = "Ejected"  // a server gets no tasks for a while
 	EventRestored EventKind = "Restored" // it gets them again
 	EventSilent   EventKind = "Silent"   // a server doesn't answer
