--- /dev/null
+++ b/runs/resend_test.go
@@ -0,0 +1,147 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
+)
+
+// desk is a placer with two servers that are driven by hand.
+type desk struct {
+	t   *testing.T
+	now time.Time
+	p   *Placer
+	out Output
+}
+
+func newDesk(t *testing.T) *desk {
+	d := &desk{t: t, now: time.Unix(1000, 0)}
+	d.p = New(1, true, d.now)
+	var servers []model.Server
+	for _, name := range []string{"a", "b"} {
+		servers = append(servers, model.Server{Name: name, Address: name, Service: "svc", Born: 1, CPU: 1000, MemoryMB: 10, Labels: []string{"k"}})
+	}
+	d.p.TakeOver(servers, d.now)
+	d.drain()
+	d.look("a", nil, nil)
+	d.look("b", nil, nil)
+	d.drain()
+	return d
+}
+
+func (d *desk) drain() Output {
+	d.out = d.p.Drain(d.now)
+	return d.out
+}
+
+// look answers the look at a server that is on its way.
+func (d *desk) look(name string, active []Listed, ended []Ended) {
+	s := d.p.servers[name]
+	if s.looking == 0 {
+		d.t.Fatalf("there is no look at server %s", name)
+	}
+	d.p.Looked(Seen{
+		Server: name, Born: 1, Seq: s.looking, Outcome: OutcomeTaken, Clock: 5000 + d.now.Sub(time.Unix(1000, 0)).Milliseconds(),
+		Sent: d.now, Active: active, Ended: ended,
+	}, d.now)
+}
+
+func (d *desk) submit(id, host string) {
+	d.p.Submit(Job{
+		ID: id, Host: host, Incarnation: 1, Service: "svc", Tasks: 1, Attempts: 3, Came: d.now, Strict: true,
+		Objective: 400 * time.Millisecond, Expires: 1500 * time.Millisecond,
+		Demand: model.Demand{CPU: 1000, MemoryMB: 1, Expected: 200 * time.Millisecond},
+	}, d.now)
+}
+
+// begin has a job of host h1 run on a server, which it returns.
+func (d *desk) begin(id string) string {
+	d.submit(id, "h1")
+	out := d.drain()
+	if len(out.Starts) != 1 {
+		d.t.Fatalf("%d starts of a job, want 1", len(out.Starts))
+	}
+	o := out.Starts[0]
+	d.p.Started(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Outcome: OutcomeTaken, Clock: 5001}, d.now)
+	return o.Server.Name
+}
+
+// TestResendDuringStop has a job come back while the run of its first life is
+// being stopped.
+func TestResendDuringStop(t *testing.T) {
+	tests := map[string]func(d *desk){
+		"its caller left":         func(d *desk) { d.p.Withdraw("j", "h1", d.now) },
+		"its entry host was lost": func(d *desk) { d.p.HostLost("h1", 0, d.now) },
+		"its host has restarted":  func(d *desk) { d.p.HostLost("h1", 2, d.now) },
+	}
+	for name, leave := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			first := d.begin("j")
+			leave(d)
+			if n := len(d.drain().Stops); n != 1 {
+				t.Fatalf("%d stops, want 1", n)
+			}
+			d.submit("j", "h2")
+			for _, o := range d.drain().Starts {
+				t.Fatalf("run %d of %s is ordered on %s while run 1 on %s is not known to have ended", o.Run, o.Task, o.Server.Name, first)
+			}
+			d.look(first, nil, []Ended{{N: 1, Task: "j.0.0.0", Run: 1, How: HowStopped}})
+			starts := d.drain().Starts
+			if len(starts) != 1 || starts[0].Run <= 1 {
+				t.Fatalf("starts %+v after the first run has ended, want one of a higher run", starts)
+			}
+		})
+	}
+}
+
+// TestResendIsNotSentElsewhere has a job come back to a placer whose servers are
+// full while a run of its first life is left.
+func TestResendIsNotSentElsewhere(t *testing.T) {
+	d := newDesk(t)
+	first := d.begin("j")
+	d.begin("other")
+	d.p.Withdraw("j", "h1", d.now)
+	for _, id := range []string{"k1", "k2", "k3", "k4"} {
+		d.submit(id, "h1")
+	}
+	d.drain()
+	d.submit("j", "h2")
+	for _, e := range d.drain().Ends {
+		if e.Job == "j" {
+			t.Fatalf("the job is %v (%s), so that another placer would start it while run 1 is on %s", e.State, e.Reason, first)
+		}
+	}
+}
+
+// TestWaitingHosts has two entry hosts wait for one job.
+func TestWaitingHosts(t *testing.T) {
+	tests := map[string]func(d *desk){
+		"the first one's caller left":    func(d *desk) { d.p.Withdraw("j", "h1", d.now) },
+		"the second one's caller left":   func(d *desk) { d.p.Withdraw("j", "h2", d.now) },
+		"the first one is lost":          func(d *desk) { d.p.HostLost("h1", 0, d.now) },
+		"the second one is lost":         func(d *desk) { d.p.HostLost("h2", 0, d.now) },
+		"both go on waiting for the end": func(*desk) {},
+	}
+	for name, leave := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			server := d.begin("j")
+			d.submit("j", "h2")
+			leave(d)
+			if n := len(d.drain().Stops); n != 0 {
+				t.Fatalf("%d stops while a host waits", n)
+			}
+			d.look(server, nil, []Ended{{N: 1, Task: "j.0.0.0", Run: 1, How: HowDone}})
+			ends := d.drain().Ends
+			want := 1
+			if name == "both go on waiting for the end" {
+				want = 2
+			}
+			if len(ends) != want {
+				t.Fatalf("%d hosts are told the end, want %d: %+v", len(ends), want, ends)
+			}
+		})
+	}
+}
--- a/runs/world_run_test.go
+++ b/runs/world_run_test.go
@@ -34,9 +34,17 @@
 			Demand:    model.Demand{CPU: 6800, MemoryMB: 64, Expected: 200 * time.Millisecond},
 			Objective: 400 * time.Millisecond, Expires: 4 * time.Second,
 		}
+		returns := w.chance(tr.back)
+		if returns {
+			w.work[j.ID] = longWork
+			j.Demand.Expected, j.Objective, j.Expires = longWork, 2*longWork, 4*longWork
+		}
 		open[j.ID] = j
 		p := placer
 		p.do(func() { p.p.Submit(j, w.now) })
+		if returns {
+			w.comeBack(j, open, func() *simPlacer { return placer })
+		}
 		w.after(time.Duration(w.rng.IntN(160))*time.Millisecond, submit)
 	}
 	submit()
@@ -71,6 +79,33 @@
 	return w, jobs
 }
 
+const (
+	resendTime = 1300 * time.Millisecond // from a broken connection until the caller sends its job again
+	longWork   = 2 * time.Second         // of the tasks of such a job
+	noticeTime = 1200 * time.Millisecond // until the placer knows that an entry host is lost
+)
+
+// comeBack has the caller of a job leave, and send it again through another host.
+func (w *world) comeBack(j Job, open map[string]Job, placer func() *simPlacer) {
+	w.after(time.Duration(w.rng.IntN(600))*time.Millisecond, func() {
+		if _, ended := w.ended[j.ID]; ended {
+			return
+		}
+		delete(open, j.ID)
+		w.after(time.Duration(w.rng.IntN(int(noticeTime))), func() {
+			sp := placer()
+			sp.do(func() { sp.p.Withdraw(j.ID, j.Host, w.now) })
+		})
+		w.after(resendTime, func() {
+			j := j
+			j.Host, j.Came = j.Host+"-2", w.now
+			open[j.ID] = j
+			sp := placer()
+			sp.do(func() { sp.p.Submit(j, w.now) })
+		})
+	})
+}
+
 // harmServers cuts servers off and restarts them at random times.
 func (w *world) harmServers() {
 	for _, s := range inOrder(w.servers) {
@@ -85,11 +120,14 @@
 	}
 }
 
+// worldCase is a kind of trouble, and the share of jobs that complete all the same.
+type worldCase struct {
+	trouble trouble
+	share   float64
+}
+
 func TestOneRunAtATime(t *testing.T) {
-	tests := map[string]struct {
-		trouble trouble
-		share   float64 // of the jobs that have to complete
-	}{
+	playCases(t, map[string]worldCase{
 		"calm":          {share: 0.9},
 		"lost answers":  {trouble: trouble{lost: 0.05}, share: 0.7},
 		"late orders":   {trouble: trouble{late: 0.05}, share: 0.7},
@@ -98,7 +136,19 @@
 		"restarts":      {trouble: trouble{born: true}, share: 0.8},
 		"no tables":     {trouble: trouble{lack: true, lost: 0.01}, share: 0.5},
 		"all together":  {trouble: trouble{lost: 0.03, late: 0.03, fail: 0.03, cut: true, born: true}, share: 0.5},
-	}
+	})
+}
+
+// TestOneRunAcrossResends has callers leave and send their jobs again.
+func TestOneRunAcrossResends(t *testing.T) {
+	playCases(t, map[string]worldCase{
+		"resends":      {trouble: trouble{back: 0.06}, share: 0.8},
+		"lost resends": {trouble: trouble{back: 0.06, lost: 0.05, cut: true}, share: 0.5},
+		"all together": {trouble: trouble{back: 0.06, lost: 0.03, late: 0.03, fail: 0.03, cut: true, lack: true}, share: 0.4},
+	})
+}
+
+func playCases(t *testing.T, tests map[string]worldCase) {
 	seeds := uint64(playSeeds)
 	if testing.Short() {
 		seeds = 20
--- a/runs/world_test.go
+++ b/runs/world_test.go
@@ -35,6 +35,7 @@
 	fail float64 // a task fails
 	cut  bool    // servers are cut off for seconds
 	born bool    // servers restart under their name
+	back float64 // a caller leaves and sends its job again
 	lack bool    // placers begin without the table of the one before
 }
 
