Start a task only after every run of its name has ended

What callers saw: a job that was sent again ran twice at the same time. Its first run was being stopped, since its caller or its entry host had left; the job was forgotten meanwhile, and the same id made new tasks that knew of no earlier run. If the stop got no answer, the second run was ordered on another server; if it was the same server, it took the place of the first one in the books.

Cause: the bar against a second start belonged to the job object, while what must not run twice is a task's name. The same holds for runs that a new placer finds.

Runs that no job holds are now kept by their task's name until they have ended, whoever asks for the task next; their highest number and their result are remembered for it. Looking them up doesn't go over all servers any more.

--- a/runs/look.go
+++ b/runs/look.go
@@ -1,7 +1,6 @@
 package runs
 
 import (
-	"slices"
 	"time"
 )
 
@@ -94,8 +93,9 @@
 	r := &run{name: a.Task, number: a.Run, server: s, state: stateRunning, sent: now, began: now, checked: now}
 	r.demand.CPU = a.CPU
 	s.take(r)
-	if j, ok := p.jobs[jobOf(r.name)]; ok && j.runs(r.name) {
-		p.event(Event{Kind: EventBesides, Job: j.ID, Task: r.name, Run: r.number, Server: s.Name})
+	p.loosen(r)
+	if t := p.taskOf(r.name); t != nil && t.run != nil {
+		p.event(Event{Kind: EventBesides, Job: t.job.ID, Task: r.name, Run: r.number, Server: s.Name})
 	}
 	if !first {
 		p.stop(r, "unknown run", now)
@@ -104,42 +104,38 @@
 	r.stopAt = now.Add(orphanTime)
 }
 
-// runs tells whether a task of the job, by its name, has a run.
-func (j *job) runs(name string) bool {
-	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.name == name && t.run != nil })
-}
-
-// adopt gives a task the run or the end that an earlier placer left. It returns
-// false when that ended the whole job.
+// adopt gives a task the run or the end that no job holds. It returns false when
+// that ended the whole job.
 func (p *Placer) adopt(t *task, now time.Time) bool {
-	if e, ok := p.found[t.name]; ok {
-		t.last = e.run
-		if e.how == HowDone {
-			t.done = true
-			t.job.idle--
-			t.job.open--
-			t.job.began = true
-			if t.job.open == 0 {
-				p.complete(t.job, now)
-				return false
-			}
-			return true
-		}
+	if t.done || t.run != nil {
+		return true
 	}
-	for _, s := range p.order {
-		r, ok := s.runs[t.name]
-		if !ok || r.task != nil || r.state != stateRunning {
-			continue
-		}
-		s.free(r)
-		r.task, r.demand, r.expected = t, t.job.Demand, p.speeds.expected(t.job.Demand.Expected, s)
-		s.take(r)
-		t.run, t.last = r, r.number
+	e := p.found[t.name]
+	t.last = max(t.last, e.run)
+	if e.done {
+		t.done = true
 		t.job.idle--
+		t.job.open--
 		t.job.began = true
-		p.event(Event{Kind: EventAdopted, Job: t.job.ID, Task: t.name, Run: r.number, Server: s.Name})
+		if t.job.open == 0 {
+			p.complete(t.job, now)
+			return false
+		}
+		return true
+	}
+	loose := p.loose[t.name]
+	if len(loose) != 1 || loose[0].state != stateRunning {
 		return true
 	}
+	r := loose[0]
+	delete(p.loose, t.name)
+	r.server.free(r)
+	r.task, r.demand, r.expected = t, t.job.Demand, p.speeds.expected(t.job.Demand.Expected, r.server)
+	r.server.take(r)
+	t.run, t.last = r, r.number
+	t.job.idle--
+	t.job.began = true
+	p.event(Event{Kind: EventAdopted, Job: t.job.ID, Task: t.name, Run: r.number, Server: r.server.Name})
 	return true
 }
 
@@ -147,15 +143,12 @@
 func (p *Placer) endListed(s *server, e Ended, now time.Time) {
 	r, ok := s.runs[e.Task]
 	if !ok || r.number != e.Run {
-		p.found[e.Task] = foundEnd{run: e.Run, how: e.How, at: now}
+		p.note(e.Task, e.Run, e.How)
 		return
 	}
-	s.free(r)
+	p.gone(r, e.How)
 	t := r.task
 	if t == nil {
-		if e.How == HowDone {
-			p.found[e.Task] = foundEnd{run: e.Run, how: e.How, at: now}
-		}
 		return
 	}
 	t.run = nil
@@ -186,7 +179,7 @@
 
 // vanished takes a run that the server can't be running any more.
 func (p *Placer) vanished(r *run, reason string) {
-	r.server.free(r)
+	p.gone(r, 0)
 	t := r.task
 	if t == nil || t.run != r {
 		return
--- a/runs/order.go
+++ b/runs/order.go
@@ -1,7 +1,6 @@
 package runs
 
 import (
-	"strings"
 	"time"
 
 	"dogwoodrock.example/dogwoodrock/model"
@@ -9,7 +8,7 @@
 
 // startOn orders a server to run a task.
 func (p *Placer) startOn(t *task, s *server, now time.Time) {
-	t.last++
+	t.last = max(t.last, p.found[t.name].run) + 1
 	r := &run{
 		task: t, name: t.name, number: t.last, server: s, sent: now,
 		expected: p.speeds.expected(t.job.Demand.Expected, s), demand: t.job.Demand,
@@ -57,7 +56,7 @@
 
 // notStarted takes a start that the server has certainly refused.
 func (p *Placer) notStarted(s *server, r *run, o Outcome, now time.Time) {
-	s.free(r)
+	p.gone(r, 0)
 	switch o {
 	case OutcomeFenced:
 		p.out.Fenced = true
@@ -96,12 +95,6 @@
 	p.sendStop(r, now)
 }
 
-// jobOf returns the id of the job that a task belongs to.
-func jobOf(task string) string {
-	id, _, _ := strings.Cut(task, ".")
-	return id
-}
-
 func (p *Placer) sendStop(r *run, now time.Time) {
 	r.stopAt = now.Add(stopRetry)
 	p.out.Stops = append(p.out.Stops, Stop{Server: r.server.Server, Task: r.name, Run: r.number, Fence: p.epoch})
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -33,7 +33,8 @@
 	waiting     []*job // jobs with tasks that wait for a server, most urgent first
 	again       []*job // jobs that wait for what earlier placers left
 	ended       map[string]endedJob
-	found       map[string]foundEnd // ends of runs that no job here waited for, by task
+	loose       map[string][]*run   // runs that no job holds and that haven't ended, by task
+	found       map[string]foundEnd // what is known of ended runs that no job held, by task
 	speeds      speeds
 	unsureUntil time.Time        // orders got no answer lately
 	full        map[string]int64 // least processor time of a task that found no room now, by service
@@ -67,9 +68,9 @@
 }
 
 type foundEnd struct {
-	run int
-	how How
-	at  time.Time
+	run  int // the highest
+	done bool
+	at   time.Time
 }
 
 // New returns a placer without servers and jobs. Whole tells that TakeOver will
@@ -82,6 +83,7 @@
 		servers: map[string]*server{},
 		jobs:    map[string]*job{},
 		ended:   map[string]endedJob{},
+		loose:   map[string][]*run{},
 		found:   map[string]foundEnd{},
 		speeds:  newSpeeds(),
 	}
@@ -173,7 +175,7 @@
 	p.unqueue(j)
 	for i := range j.tasks {
 		if r := j.tasks[i].run; r != nil {
-			r.task = nil
+			p.loosen(r)
 			p.stop(r, reason, now)
 		}
 	}
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -78,7 +78,7 @@
 func (p *Placer) place(j *job, now time.Time) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if t.done || t.run != nil {
+		if t.done || t.run != nil || len(p.loose[t.name]) > 0 {
 			continue
 		}
 		if least, full := p.full[j.Service]; full && j.Demand.CPU >= least {
