Don't refuse a job for the load while runs of it are left

What callers saw: a job that was sent again ran in two data centres. The placer that still had a run of its first life, found after a takeover or being stopped, refused it since its servers were full; the entry host then handed it to the placer of another data centre, which knew of no run.

Such a job now waits at the placer that has its runs. When its caller's time ends first, the answer is that it may have run.

Evidence: TestResendIsNotSentElsewhere failed before: "the job is Refused (the work ahead of it takes too long for its objective), so that another placer would start it while run 1 is on a".

--- a/runs/admit.go
+++ b/runs/admit.go
@@ -10,8 +10,9 @@
 // refuse returns why a job is refused at once, or nothing. It is for loads above
 // the capacity: a job that would wait too long is told so before it has waited,
 // while another data centre may have room or its caller can come back in time.
+// Neither may have a job while runs of it are left here.
 func (p *Placer) refuse(j *job, now time.Time) string {
-	if j.Again {
+	if j.Again || p.left(j) {
 		return ""
 	}
 	limit, reason := j.useful(), "the work ahead of it takes too long"
@@ -83,7 +84,7 @@
 			rates[j.Service] = rate
 		}
 		wait := time.Duration(float64(ahead[j.Service]) / max(rate, 1))
-		if !j.began && rate > 0 && now.Sub(j.Came)+wait > j.useful() {
+		if !j.began && !p.left(j) && rate > 0 && now.Sub(j.Came)+wait > j.useful() {
 			p.end(j, model.JobEndRefused, "the work ahead of it takes too long", now)
 			continue
 		}
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -239,9 +239,9 @@
 	p.refuseLate(now)
 	for _, j := range inOrder(p.jobs) {
 		switch {
-		case j.began && now.Sub(j.Came) >= j.Expires:
+		case (j.began || p.left(j)) && now.Sub(j.Came) >= j.Expires:
 			p.end(j, model.JobEndUnknown, "the time of its caller is over", now)
-		case !j.began && now.Sub(j.Came) >= j.useful():
+		case !j.began && !p.left(j) && now.Sub(j.Came) >= j.useful():
 			p.end(j, model.JobEndRefused, "no backend server had room in time", now)
 		}
 	}
