Keep every entry host that waits for a job

What callers saw: a job that was open at two entry hosts, as its caller had sent it again, was cut at the one when the caller left the other: the last host that had asked was the only one known. Its withdrawal or loss stopped the runs under the first one, which never heard of an end.

A job now holds the list of hosts that wait.

--- a/runs/placer.go
+++ b/runs/placer.go
@@ -44,12 +44,13 @@
 
 type job struct {
 	Job
-	tasks []task
-	open  int       // tasks that are not done
-	idle  int       // tasks that wait for a server
-	due   time.Time // latest start that meets the objective
-	order time.Time // place in the queue
-	began bool      // a task was started
+	waiters []waiter
+	tasks   []task
+	open    int       // tasks that are not done
+	idle    int       // tasks that wait for a server
+	due     time.Time // latest start that meets the objective
+	order   time.Time // place in the queue
+	began   bool      // a task was started
 }
 
 type task struct {
@@ -105,20 +106,18 @@
 }
 
 // Submit takes a job. One that is known already goes on, and its end is told to
-// the host that asked last.
+// this host too.
 func (p *Placer) Submit(j Job, now time.Time) {
 	p.awake(now)
 	if known, ok := p.jobs[j.ID]; ok {
-		p.event(Event{Kind: EventRejoined, Job: j.ID, Reason: j.Host})
-		known.Host, known.Incarnation = j.Host, j.Incarnation
-		known.Came, known.Expires = j.Came, j.Expires
+		p.rejoin(known, j)
 		return
 	}
 	if e, ok := p.ended[j.ID]; ok {
 		p.out.Ends = append(p.out.Ends, End{Job: j.ID, Host: j.Host, Route: j.Route, State: e.state, Took: now.Sub(j.Came)})
 		return
 	}
-	k := &job{Job: j, tasks: make([]task, j.Tasks), open: j.Tasks, idle: j.Tasks}
+	k := &job{Job: j, waiters: []waiter{waiterOf(j)}, tasks: make([]task, j.Tasks), open: j.Tasks, idle: j.Tasks}
 	for i := range k.tasks {
 		k.tasks[i] = task{job: k, name: j.ID + ".0.0." + strconv.Itoa(i)}
 	}
@@ -152,23 +151,6 @@
 	}
 }
 
-// Withdraw ends a job that nobody waits for any more, unless another host waits.
-func (p *Placer) Withdraw(id, host string, now time.Time) {
-	if j, ok := p.jobs[id]; ok && j.Host == host {
-		p.drop(j, "withdrawn", now)
-	}
-}
-
-// HostLost withdraws the jobs of an entry host, those of its process before when
-// the incarnation is not 0.
-func (p *Placer) HostLost(host string, incarnation uint64, now time.Time) {
-	for _, j := range inOrder(p.jobs) {
-		if j.Host == host && (incarnation == 0 || j.Incarnation != incarnation) {
-			p.drop(j, "entry host lost", now)
-		}
-	}
-}
-
 // drop forgets a job and stops its runs.
 func (p *Placer) drop(j *job, reason string, now time.Time) {
 	delete(p.jobs, j.ID)
@@ -183,14 +165,17 @@
 
 // end tells the end of a job and forgets it.
 func (p *Placer) end(j *job, state model.JobEnd, reason string, now time.Time) {
-	e := End{Job: j.ID, Host: j.Host, Route: j.Route, State: state, Reason: reason, Took: now.Sub(j.Came)}
+	e := End{Job: j.ID, Route: j.Route, State: state, Reason: reason, Took: now.Sub(j.Came)}
 	if state != model.JobEndComplete {
 		e.Wait, e.Waiting, e.Servers = p.wait(j, now), len(p.waiting), p.inUse(now)
 	}
 	if state == model.JobEndRefused {
 		e.RetryAfter = max(e.Wait, model.LeastRetryAfter)
 	}
-	p.out.Ends = append(p.out.Ends, e)
+	for _, w := range j.waiters {
+		e.Host = w.host
+		p.out.Ends = append(p.out.Ends, e)
+	}
 	if state == model.JobEndComplete || state == model.JobEndFailed {
 		p.ended[j.ID] = endedJob{state: state, at: now}
 	}
