Play entry hosts and a second data centre in the simulation

Entry hosts are now lost, tell placers that they wait, learn of a new placer late, and hand jobs over links that repeat what got lost; a caller that comes back may reach the other data centre. The first life's runs are ended by a chain of times (silence of the host 0.9 s, then a stop, or its placer's lease of 1 s when that is lost too), whose sum exceeds the 1.3 s after which the caller comes back.

--- a/placer/node.go
+++ b/placer/node.go
@@ -151,7 +151,7 @@
 		n.hand(m, now)
 	case msgs.JobWithdraw:
 		if n.placer != nil {
-			n.placer.Withdraw(m.Job, m.Host, now)
+			n.placer.Withdraw(m.Job, m.Host, 0, now)
 		}
 	case answered:
 		n.answered(m, now)
--- a/runs/resend_test.go
+++ b/runs/resend_test.go
@@ -71,7 +71,7 @@
 // being stopped.
 func TestResendDuringStop(t *testing.T) {
 	tests := map[string]func(d *desk){
-		"its caller left":         func(d *desk) { d.p.Withdraw("j", "h1", d.now) },
+		"its caller left":         func(d *desk) { d.p.Withdraw("j", "h1", 0, d.now) },
 		"its entry host was lost": func(d *desk) { d.p.HostLost("h1", 0, d.now) },
 		"its host has restarted":  func(d *desk) { d.p.HostLost("h1", 2, d.now) },
 	}
@@ -102,7 +102,7 @@
 	d := newDesk(t)
 	first := d.begin("j")
 	d.begin("other")
-	d.p.Withdraw("j", "h1", d.now)
+	d.p.Withdraw("j", "h1", 0, d.now)
 	for _, id := range []string{"k1", "k2", "k3", "k4"} {
 		d.submit(id, "h1")
 	}
@@ -118,8 +118,8 @@
 // TestWaitingHosts has two entry hosts wait for one job.
 func TestWaitingHosts(t *testing.T) {
 	tests := map[string]func(d *desk){
-		"the first one's caller left":    func(d *desk) { d.p.Withdraw("j", "h1", d.now) },
-		"the second one's caller left":   func(d *desk) { d.p.Withdraw("j", "h2", d.now) },
+		"the first one's caller left":    func(d *desk) { d.p.Withdraw("j", "h1", 0, d.now) },
+		"the second one's caller left":   func(d *desk) { d.p.Withdraw("j", "h2", 0, d.now) },
 		"the first one is lost":          func(d *desk) { d.p.HostLost("h1", 0, d.now) },
 		"the second one is lost":         func(d *desk) { d.p.HostLost("h2", 0, d.now) },
 		"both go on waiting for the end": func(*desk) {},
--- a/runs/types.go
+++ b/runs/types.go
@@ -11,6 +11,7 @@
 	ID          string
 	Host        string // entry host that waits for the end
 	Incarnation uint64 // of the entry host
+	Hand        uint64 // number of the hand-over, which rises on the entry host
 	Route       string
 	Service     string
 	Spec        string
--- a/runs/wait.go
+++ b/runs/wait.go
@@ -29,7 +29,7 @@
 }
 
 // Withdraw tells that a host waits for a job no more.
-func (p *Placer) Withdraw(id, host string, now time.Time) {
+func (p *Placer) Withdraw(id, host string, hand uint64, now time.Time) {
 	if j, ok := p.jobs[id]; ok {
 		p.leave(j, "withdrawn", now, func(w waiter) bool { return w.host == host })
 	}
@@ -51,3 +51,8 @@
 		p.drop(j, reason, now)
 	}
 }
+
+// Waits tells that an entry host waited at a time for the jobs that it hasn't
+// withdrawn.
+func (p *Placer) Waits(host string, at, now time.Time) {
+}
--- /dev/null
+++ b/runs/world_host_test.go
@@ -0,0 +1,162 @@
+package runs
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	pulseEvery  = 200 * time.Millisecond
+	hostSilence = 900 * time.Millisecond  // after which a placer takes an entry host for lost
+	resendTime  = 1300 * time.Millisecond // from a broken connection until the caller sends its job again
+	linkOutage  = 1500 * time.Millisecond // most for which a link repeats what it carries
+)
+
+// simHost is an entry host. It hands jobs to a placer over a link that repeats
+// what gets lost, and tells that it waits by pulses, which are sent once.
+type simHost struct {
+	w         *world
+	name      string
+	placer    *simPlacer
+	lost      bool
+	open      map[string]Job
+	hands     uint64
+	withdrawn map[string]uint64        // hand-over by job
+	stamps    map[*simPlacer]time.Time // latest that a placer told
+	linkFree  map[*simPlacer]time.Time // when the link has delivered what it carries
+}
+
+func (w *world) newHost(name string, placer *simPlacer) *simHost {
+	h := &simHost{
+		w: w, name: name, placer: placer, open: map[string]Job{}, withdrawn: map[string]uint64{},
+		stamps: map[*simPlacer]time.Time{}, linkFree: map[*simPlacer]time.Time{},
+	}
+	w.hosts[name] = h
+	h.pulses()
+	return h
+}
+
+// send delivers in order, late while the link is cut. What a lost host has sent
+// may still arrive.
+func (h *simHost) send(do func(sp *simPlacer)) {
+	sp, at := h.placer, h.w.now.Add(h.w.delay())
+	if h.w.chance(h.w.trouble.lost) {
+		at = at.Add(time.Duration(h.w.rng.IntN(int(linkOutage))))
+	}
+	if at.Before(h.linkFree[sp]) {
+		at = h.linkFree[sp]
+	}
+	h.linkFree[sp] = at
+	h.w.after(at.Sub(h.w.now), func() { sp.do(func() { do(sp) }) })
+}
+
+func (h *simHost) submit(j Job) {
+	h.hands++
+	j.Host, j.Hand = h.name, h.hands
+	h.open[j.ID] = j
+	delete(h.withdrawn, j.ID)
+	sent := h.w.now
+	h.send(func(sp *simPlacer) {
+		arrived := h.w.now
+		j.Came = j.Came.Add(arrived.Sub(sent)) // only its age at sending is told
+		sp.meets(h.name)
+		sp.p.Submit(j, arrived)
+		if j.Hand == 1 {
+			h.pulse(sp)
+		}
+	})
+}
+
+func (h *simHost) withdraw(id string) {
+	j, ok := h.open[id]
+	if !ok {
+		return
+	}
+	delete(h.open, id)
+	h.withdrawn[id] = j.Hand
+	h.send(func(sp *simPlacer) { sp.p.Withdraw(id, h.name, j.Hand, h.w.now) })
+}
+
+// follow hands the open jobs to the next placer.
+func (h *simHost) follow(sp *simPlacer) {
+	if h.lost {
+		return
+	}
+	h.placer = sp
+	for _, id := range slices.Sorted(maps.Keys(h.open)) {
+		j := h.open[id]
+		j.Again = true
+		h.submit(j)
+	}
+	h.pulse(sp)
+}
+
+func (h *simHost) pulses() {
+	if h.lost {
+		return
+	}
+	h.pulse(h.placer)
+	h.w.after(pulseEvery, h.pulses)
+}
+
+// pulse tells a placer what is withdrawn, and returns the latest stamp that it
+// told. A placer that hasn't told any is answered at once.
+func (h *simHost) pulse(sp *simPlacer) {
+	if h.lost || h.w.chance(h.w.trouble.lost) {
+		return
+	}
+	stamp, withdrawn := h.stamps[sp], maps.Clone(h.withdrawn)
+	h.w.after(h.w.delay(), func() {
+		sp.do(func() {
+			now := h.w.now
+			sp.meets(h.name)
+			for _, id := range slices.Sorted(maps.Keys(withdrawn)) {
+				sp.p.Withdraw(id, h.name, withdrawn[id], now)
+			}
+			if !stamp.IsZero() {
+				sp.waited[h.name] = stamp
+				sp.p.Waits(h.name, stamp, now)
+			}
+			h.w.after(h.w.delay(), func() {
+				h.stamps[sp] = now
+				if stamp.IsZero() {
+					h.pulse(sp)
+				}
+			})
+		})
+	})
+}
+
+func (sp *simPlacer) meets(host string) {
+	if _, ok := sp.waited[host]; !ok {
+		sp.waited[host] = sp.w.now
+	}
+}
+
+func (sp *simPlacer) loseHosts() {
+	for _, name := range slices.Sorted(maps.Keys(sp.waited)) {
+		if sp.w.now.Sub(sp.waited[name]) > hostSilence {
+			delete(sp.waited, name)
+			sp.p.HostLost(name, 0, sp.w.now)
+		}
+	}
+}
+
+// comeBack breaks the connection of a job's caller, who then sends the job again
+// through another host. The first one is lost, or only the caller left it.
+func (w *world) comeBack(h *simHost, j Job, placers func() []*simPlacer) {
+	w.after(time.Duration(w.rng.IntN(600))*time.Millisecond, func() {
+		if _, open := h.open[j.ID]; !open {
+			return
+		}
+		h.withdraw(j.ID)
+		h.lost = w.chance(0.7)
+		w.after(resendTime, func() {
+			all := placers()
+			j := j
+			j.Came = w.now
+			w.newHost(h.name+"-2", all[w.rng.IntN(len(all))]).submit(j)
+		})
+	})
+}
--- a/runs/world_run_test.go
+++ b/runs/world_run_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -16,7 +15,7 @@
 )
 
 // play hands jobs to placers that are frozen, killed and superseded, and returns
-// the world and the number of jobs.
+// the world and the number of jobs. The placer of a second data centre goes on.
 func play(t *testing.T, seed uint64, tr trouble) (*world, int) {
 	w := newWorld(t, seed, tr)
 	for i := range 8 {
@@ -24,26 +23,32 @@
 	}
 	epoch := uint64(1)
 	placer := w.newPlacer(epoch)
-	open := map[string]Job{}
+	placers := func() []*simPlacer { return []*simPlacer{placer} }
+	if tr.back > 0 {
+		for i := range 2 {
+			w.addServerTo("other", fmt.Sprintf("t%d", i), "a", 1)
+		}
+		other := w.newPlacerIn("other", 1)
+		placers = func() []*simPlacer { return []*simPlacer{placer, other} }
+	}
+	steady := []*simHost{w.newHost("h1", placer), w.newHost("h2", placer), w.newHost("h3", placer)}
 	jobs := 0
 	var submit func()
 	submit = func() {
 		jobs++
 		j := Job{
-			ID: fmt.Sprintf("j%d", jobs), Host: "h", Service: "svc", Tasks: 1 + w.rng.IntN(4), Attempts: 3, Came: w.now,
+			ID: fmt.Sprintf("j%d", jobs), Service: "svc", Tasks: 1 + w.rng.IntN(4), Attempts: 3, Came: w.now,
 			Demand:    model.Demand{CPU: 6800, MemoryMB: 64, Expected: 200 * time.Millisecond},
 			Objective: 400 * time.Millisecond, Expires: 4 * time.Second,
 		}
-		returns := w.chance(tr.back)
-		if returns {
+		if w.chance(tr.back) {
 			w.work[j.ID] = longWork
 			j.Demand.Expected, j.Objective, j.Expires = longWork, 2*longWork, 4*longWork
-		}
-		open[j.ID] = j
-		p := placer
-		p.do(func() { p.p.Submit(j, w.now) })
-		if returns {
-			w.comeBack(j, open, func() *simPlacer { return placer })
+			h := w.newHost("h-"+j.ID, placer)
+			h.submit(j)
+			w.comeBack(h, j, placers)
+		} else {
+			steady[w.rng.IntN(len(steady))].submit(j)
 		}
 		w.after(time.Duration(w.rng.IntN(160))*time.Millisecond, submit)
 	}
@@ -62,11 +67,10 @@
 		} else {
 			placer = w.newPlacer(epoch)
 		}
-		for _, id := range slices.Sorted(maps.Keys(open)) {
-			j := open[id]
-			if _, ended := w.ended[id]; !ended {
-				j.Again = true
-				placer.do(func() { placer.p.Submit(j, w.now) })
+		next := placer
+		for _, h := range inOrder(w.hosts) {
+			if h.placer == old {
+				w.after(w.learns(), func() { h.follow(next) })
 			}
 		}
 	}
@@ -80,30 +84,16 @@
 }
 
 const (
-	resendTime = 1300 * time.Millisecond // from a broken connection until the caller sends its job again
-	longWork   = 2 * time.Second         // of the tasks of such a job
-	noticeTime = 1200 * time.Millisecond // until the placer knows that an entry host is lost
+	longWork  = 2 * time.Second         // of the tasks of a job that comes back
+	learnLate = 1500 * time.Millisecond // most until a host that is cut off from the core learns of a placer
 )
 
-// comeBack has the caller of a job leave, and send it again through another host.
-func (w *world) comeBack(j Job, open map[string]Job, placer func() *simPlacer) {
-	w.after(time.Duration(w.rng.IntN(600))*time.Millisecond, func() {
-		if _, ended := w.ended[j.ID]; ended {
-			return
-		}
-		delete(open, j.ID)
-		w.after(time.Duration(w.rng.IntN(int(noticeTime))), func() {
-			sp := placer()
-			sp.do(func() { sp.p.Withdraw(j.ID, j.Host, w.now) })
-		})
-		w.after(resendTime, func() {
-			j := j
-			j.Host, j.Came = j.Host+"-2", w.now
-			open[j.ID] = j
-			sp := placer()
-			sp.do(func() { sp.p.Submit(j, w.now) })
-		})
-	})
+// learns returns how long an entry host takes to learn of a new placer.
+func (w *world) learns() time.Duration {
+	if w.chance(w.trouble.lost) {
+		return time.Duration(w.rng.IntN(int(learnLate)))
+	}
+	return w.delay()
 }
 
 // harmServers cuts servers off and restarts them at random times.
@@ -124,6 +114,7 @@
 type worldCase struct {
 	trouble trouble
 	share   float64
+	seeds   []uint64 // that failed once, beside those that are always played
 }
 
 func TestOneRunAtATime(t *testing.T) {
@@ -142,21 +133,24 @@
 // TestOneRunAcrossResends has callers leave and send their jobs again.
 func TestOneRunAcrossResends(t *testing.T) {
 	playCases(t, map[string]worldCase{
-		"resends":      {trouble: trouble{back: 0.06}, share: 0.8},
-		"lost resends": {trouble: trouble{back: 0.06, lost: 0.05, cut: true}, share: 0.5},
-		"all together": {trouble: trouble{back: 0.06, lost: 0.03, late: 0.03, fail: 0.03, cut: true, lack: true}, share: 0.4},
+		"resends":      {trouble: trouble{back: 0.3}, share: 0.8, seeds: []uint64{242}},
+		"lost resends": {trouble: trouble{back: 0.3, lost: 0.05, cut: true}, share: 0.5, seeds: []uint64{50}},
+		"all together": {trouble: trouble{back: 0.3, lost: 0.03, late: 0.03, fail: 0.03, cut: true, lack: true}, share: 0.4},
 	})
 }
 
 func playCases(t *testing.T, tests map[string]worldCase) {
-	seeds := uint64(playSeeds)
+	var seeds []uint64
+	for seed := range uint64(playSeeds) {
+		seeds = append(seeds, seed)
+	}
 	if testing.Short() {
-		seeds = 20
+		seeds = seeds[:20]
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			jobs, complete := 0, 0
-			for seed := range seeds {
+			for _, seed := range append(slices.Clone(seeds), tt.seeds...) {
 				w, n := play(t, seed, tt.trouble)
 				if w.twice != "" {
 					t.Fatalf("seed %d: %s", seed, w.twice)
--- a/runs/world_test.go
+++ b/runs/world_test.go
@@ -21,6 +21,7 @@
 	queue   eventQueue
 	seq     int
 	servers map[string]*simServer
+	hosts   map[string]*simHost
 	trouble trouble
 	ended   map[string]model.JobEnd
 	twice   string
@@ -35,7 +36,7 @@
 	fail float64 // a task fails
 	cut  bool    // servers are cut off for seconds
 	born bool    // servers restart under their name
-	back float64 // a caller leaves and sends its job again
+	back float64 // a caller loses its connection and sends its job again, half of them to the other data centre
 	lack bool    // placers begin without the table of the one before
 }
 
@@ -66,7 +67,7 @@
 func newWorld(t *testing.T, seed uint64, tr trouble) *world {
 	return &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), trouble: tr,
-		servers: map[string]*simServer{}, ended: map[string]model.JobEnd{}, work: map[string]time.Duration{}, onEnd: func(End) {},
+		servers: map[string]*simServer{}, hosts: map[string]*simHost{}, ended: map[string]model.JobEnd{}, work: map[string]time.Duration{}, onEnd: func(End) {},
 	}
 }
 
@@ -114,10 +115,15 @@
 	life   int
 }
 
+// addServer adds a backend server to the first data centre.
 func (w *world) addServer(name, kind string, speed float64) *simServer {
+	return w.addServerTo(firstDataCentre, name, kind, speed)
+}
+
+func (w *world) addServerTo(dc, name, kind string, speed float64) *simServer {
 	s := &simServer{w: w, speed: speed, rate: 0.98 + 0.04*w.rng.Float64()}
 	s.report = model.Server{
-		Name: name, Address: name, DataCentre: "dc", Service: "svc", CPU: 16000, MemoryMB: 65536, Labels: []string{kind, "rack"},
+		Name: name, Address: name, DataCentre: dc, Service: "svc", CPU: 16000, MemoryMB: 65536, Labels: []string{kind, "rack"},
 	}
 	w.servers[name] = s
 	s.boot()
@@ -254,15 +260,22 @@
 type simPlacer struct {
 	w      *world
 	p      *Placer
+	dc     string
+	waited map[string]time.Time // until which each host is known to have waited
 	frozen bool
 	dead   bool
 	late   []func()
 }
 
-// newPlacer returns a placer that has the table of the one before.
+// newPlacer returns a placer of the first data centre that has the table of the
+// one before.
 func (w *world) newPlacer(epoch uint64) *simPlacer {
-	sp := &simPlacer{w: w, p: New(epoch, true, w.now)}
-	sp.p.TakeOver(w.table(), w.now)
+	return w.newPlacerIn(firstDataCentre, epoch)
+}
+
+func (w *world) newPlacerIn(dc string, epoch uint64) *simPlacer {
+	sp := &simPlacer{w: w, p: New(epoch, true, w.now), dc: dc, waited: map[string]time.Time{}}
+	sp.p.TakeOver(w.table(dc), w.now)
 	sp.tick()
 	sp.beat()
 	return sp
@@ -271,8 +284,8 @@
 // newPlacerWithout returns a placer without a table. If the one before has stopped
 // it may send its own; else the core tells a part, or only reports tell of servers.
 func (w *world) newPlacerWithout(epoch uint64, stopped bool) *simPlacer {
-	sp := &simPlacer{w: w, p: New(epoch, false, w.now)}
-	table := w.table()
+	sp := &simPlacer{w: w, p: New(epoch, false, w.now), dc: firstDataCentre, waited: map[string]time.Time{}}
+	table := w.table(firstDataCentre)
 	told := time.Duration(w.rng.IntN(100)) * time.Millisecond
 	switch {
 	case stopped && w.chance(0.7):
@@ -286,10 +299,14 @@
 	return sp
 }
 
-func (w *world) table() []model.Server {
+const firstDataCentre = "dc"
+
+func (w *world) table(dc string) []model.Server {
 	var table []model.Server
 	for _, s := range inOrder(w.servers) {
-		table = append(table, s.report)
+		if s.report.DataCentre == dc {
+			table = append(table, s.report)
+		}
 	}
 	return table
 }
@@ -303,14 +320,17 @@
 	if sp.dead {
 		return
 	}
-	sp.do(func() { sp.p.Tick(sp.w.now) })
+	sp.do(func() {
+		sp.loseHosts()
+		sp.p.Tick(sp.w.now)
+	})
 	sp.w.after(20*time.Millisecond, sp.tick)
 }
 
 func (sp *simPlacer) beat() {
 	for _, s := range inOrder(sp.w.servers) {
 		s.report.Seq++
-		if report := s.report; !s.cut {
+		if report := s.report; !s.cut && report.DataCentre == sp.dc {
 			sp.do(func() { sp.p.Report(report, sp.w.now) })
 		}
 	}
@@ -356,6 +376,9 @@
 	}
 	for _, e := range out.Ends {
 		sp.w.ended[e.Job] = e.State
+		if h, ok := sp.w.hosts[e.Host]; ok {
+			delete(h.open, e.Job)
+		}
 		sp.w.onEnd(e)
 	}
 	if out.Fenced {
