Tell placers when entry hosts waited, on the placer's clock

Callers that lose their connection send a job again 1.3 s later, perhaps to another data centre.

Cause: a placer takes a pulse that arrives for one that has just been sent, and a withdrawal can't be told from one of another life of its job.

Now each answer to a pulse carries a stamp of the placer's steady clock, and the entry host returns the latest one of the epoch; a placer that has none that is fresh asks for a pulse, at most each 50 ms a host. Silence counts from the latest known waiting. Hand-overs are numbered, withdrawals name the number, and pulses list those of the last 2 s, as they may overtake them on the reliable link. A superseded placer isn't told any more who waits. A job that waited for a placer is withdrawn from none.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -202,6 +202,8 @@
 // hand gives a job to a placer.
 func (n *Node) hand(j *openJob, p model.Placement, again bool, now time.Time) {
 	j.placement, j.parked = p, false
+	n.handed++
+	j.hand.Hand = n.handed
 	j.hand.Epoch = p.Epoch
 	j.hand.Again = again
 	j.hand.Age = now.Sub(j.came)
@@ -273,12 +275,20 @@
 
 // giveUp answers a job that its placer doesn't end in time.
 func (n *Node) giveUp(j *openJob, reason string, now time.Time) {
-	n.withdraw(j)
+	n.withdraw(j, now)
 	n.answer(j, Outcome{Kind: KindUnknown, Reason: reason}, now)
 }
 
-func (n *Node) withdraw(j *openJob) {
-	_ = n.Send(j.placement.Host, msgs.ServicePlacer, msgs.JobWithdraw{Job: j.hand.Job, Host: n.Self}) // or it ends by its time
+// withdraw tells the placer of a job that nobody waits for it, at once and with
+// the next pulses.
+func (n *Node) withdraw(j *openJob, now time.Time) {
+	if j.parked {
+		return // no placer has it
+	}
+	m := msgs.JobWithdraw{Job: j.hand.Job, Host: n.Self, Hand: j.hand.Hand}
+	host := j.placement.Host
+	n.withdrawn[host] = append(n.withdrawn[host], withdrawn{job: m, at: now})
+	_ = n.Send(host, msgs.ServicePlacer, m) // or it ends by its time
 }
 
 func (n *Node) abandon(m Abandon, now time.Time) {
@@ -292,7 +302,7 @@
 	}
 	delete(n.jobs, m.Job)
 	n.Hooks.Left(j.answered(Outcome{}, now))
-	n.withdraw(j)
+	n.withdraw(j, now)
 }
 
 func (n *Node) cancel(m Cancel, now time.Time) {
@@ -305,7 +315,7 @@
 		m.Reply(KindNoJob)
 		return
 	}
-	n.withdraw(j)
+	n.withdraw(j, now)
 	n.answer(j, Outcome{Kind: KindCancelled, Reason: "cancelled by its caller"}, now)
 	m.Reply(KindCancelled)
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -21,6 +21,8 @@
 	placerSilence = 3 * pulseInterval      // from a question without an answer until a placer counts as lost: two lost messages are borne
 	parkTime      = 300 * time.Millisecond // for the next placer of the own data centre, before others are asked: the core's own wait after an election
 	answerSlack   = 150 * time.Millisecond // after the end of the caller's patience, for the placer's own answer
+
+	withdrawMemory = 2 * time.Second // for which pulses list a withdrawal: they may overtake the one on the reliable link
 )
 
 // Config is what a Node is told at its start.
@@ -67,7 +69,9 @@
 	placements map[string]model.Placement
 	placers    map[string]*placerState // by host
 	jobs       map[string]*openJob
-	servers    uint64 // version of the table of backend servers
+	handed     uint64                 // number of the latest hand-over
+	withdrawn  map[string][]withdrawn // lately, by the placer's host
+	servers    uint64                 // version of the table of backend servers
 	tableEpoch uint64
 
 	members []string // of the core
@@ -88,7 +92,14 @@
 	incarnation uint64
 	asked       time.Time // first question that it hasn't answered, zero for none
 	silent      bool
-	idle        bool // the host doesn't place under this epoch
+	idle        bool          // the host doesn't place under this epoch
+	stamp       time.Duration // latest that it told under this epoch, 0 for none
+}
+
+// withdrawn is a job that was withdrawn from a placer.
+type withdrawn struct {
+	job msgs.JobWithdraw
+	at  time.Time
 }
 
 // lost tells whether no job can be handed to the placer.
@@ -128,6 +139,7 @@
 	n.placements = map[string]model.Placement{}
 	n.placers = map[string]*placerState{}
 	n.jobs = map[string]*openJob{}
+	n.withdrawn = map[string][]withdrawn{}
 	n.heard = n.Now()
 }
 
@@ -164,6 +176,7 @@
 // Tick does what is due by time.
 func (n *Node) Tick() {
 	now := n.Now()
+	n.forget(now)
 	if !now.Before(n.renewAt) {
 		n.renew(now)
 	}
@@ -266,6 +279,10 @@
 	if p.Epoch <= n.placements[p.DataCentre].Epoch {
 		return
 	}
+	old := n.placements[p.DataCentre]
+	if s := n.placers[old.Host]; s != nil && s.epoch == old.Epoch {
+		delete(n.placers, old.Host) // it isn't told any more who waits
+	}
 	n.placements[p.DataCentre] = p
 	n.placers[p.Host] = &placerState{epoch: p.Epoch, incarnation: p.Incarnation}
 	n.Hooks.Placed(p)
@@ -303,12 +320,33 @@
 		}
 	}
 	for host := range needed {
-		if s := n.placers[host]; s != nil {
-			n.ask(host, s, now)
+		n.pulseTo(host, now)
+	}
+}
+
+// pulseTo sends one pulse.
+func (n *Node) pulseTo(host string, now time.Time) {
+	m := msgs.Pulse{Host: n.Self, Incarnation: n.Incarnation, Epoch: n.tableEpoch, Servers: n.servers}
+	for _, w := range n.withdrawn[host] {
+		m.Withdrawn = append(m.Withdrawn, w.job)
+	}
+	if s := n.placers[host]; s != nil {
+		n.ask(host, s, now)
+		if s.stamp > 0 {
+			m.Placing, m.Stamp = s.epoch, s.stamp
+		}
+	}
+	_ = n.Send(host, msgs.ServicePlacer, m) // asked again soon
+}
+
+// forget drops the withdrawals that pulses need not list any more.
+func (n *Node) forget(now time.Time) {
+	for host, list := range n.withdrawn {
+		list = slices.DeleteFunc(list, func(w withdrawn) bool { return now.Sub(w.at) > withdrawMemory })
+		n.withdrawn[host] = list
+		if len(list) == 0 {
+			delete(n.withdrawn, host)
 		}
-		_ = n.Send(host, msgs.ServicePlacer, msgs.Pulse{
-			Host: n.Self, Incarnation: n.Incarnation, Epoch: n.tableEpoch, Servers: n.servers,
-		}) // asked again soon
 	}
 }
 
@@ -342,9 +380,11 @@
 		n.idle(m.Host, s, now)
 		return
 	}
+	s.stamp = max(s.stamp, m.Stamp)
 	n.handParked(m.Host, now)
-	if n.placements[n.DataCentre].Host == m.Host {
-		n.learnTable(m, now)
+	pulsed := n.placements[n.DataCentre].Host == m.Host && n.learnTable(m, now)
+	if m.Ask && !pulsed {
+		n.pulseTo(m.Host, now)
 	}
 }
 
@@ -387,18 +427,20 @@
 }
 
 // learnTable passes on what has changed in the table of backend servers, and
-// confirms it at once: the placer may use new servers then.
-func (n *Node) learnTable(m msgs.Pulsed, now time.Time) {
+// confirms it at once by a pulse: the placer may use new servers then. It returns
+// whether anything has changed.
+func (n *Node) learnTable(m msgs.Pulsed, now time.Time) bool {
 	had := n.servers
 	if n.tableEpoch != m.Epoch {
 		had = 0
 	}
 	if m.Servers <= had || m.Since > had {
-		return
+		return false
 	}
 	n.servers, n.tableEpoch = m.Servers, m.Epoch
 	_ = n.Send(n.Self, msgs.ServicePlacer, placer.Table{Epoch: m.Epoch, Whole: m.Since == 0, Servers: m.Table}) // on this host
 	n.pulse(now)
+	return true
 }
 
 // placerFor returns the placer of the own data centre or, while that is lost,
--- /dev/null
+++ b/entry/waiting_test.go
@@ -0,0 +1,186 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
+	"dogwoodrock.example/dogwoodrock/msgs"
+)
+
+// pulses returns the pulses sent, by the placer's host.
+func (f *fixture) pulses() map[string][]msgs.Pulse {
+	list := map[string][]msgs.Pulse{}
+	for _, e := range f.sent {
+		if m, ok := e.Body.(msgs.Pulse); ok {
+			list[e.To] = append(list[e.To], m)
+		}
+	}
+	return list
+}
+
+func TestStamps(t *testing.T) {
+	tell := func(f *fixture, epoch uint64, stamp time.Duration) {
+		f.Handle(msgs.Pulsed{Host: "p1", Incarnation: 1, Epoch: epoch, Stamp: stamp})
+	}
+	tests := map[string]struct {
+		act     func(f *fixture)
+		placing uint64 // of the next pulse
+		stamp   time.Duration
+	}{
+		"none was told":          {act: func(*fixture) {}},
+		"it is returned":         {act: func(f *fixture) { tell(f, 4, 7*time.Second) }, placing: 4, stamp: 7 * time.Second},
+		"one of another epoch":   {act: func(f *fixture) { tell(f, 3, 7*time.Second) }},
+		"one told late":          {act: func(f *fixture) { tell(f, 4, 7*time.Second); tell(f, 4, 6*time.Second) }, placing: 4, stamp: 7 * time.Second},
+		"the host doesn't place": {act: func(f *fixture) { f.Handle(msgs.Pulsed{Host: "p1", Incarnation: 1, Idle: 4, Stamp: time.Second}) }},
+		"the next epoch on the same host": {act: func(f *fixture) {
+			tell(f, 4, 7*time.Second)
+			f.tell(0, "", model.Placement{DataCentre: "a", Host: "p1", Incarnation: 1, Epoch: 8})
+			tell(f, 4, 8*time.Second)
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.tell(2, "v", placedA)
+			tt.act(f)
+			f.sent = nil
+			f.wait(pulseInterval + tick)
+			got := f.pulses()["p1"]
+			if len(got) == 0 || got[0].Placing != tt.placing || got[0].Stamp != tt.stamp {
+				t.Fatalf("pulses %+v, want stamp %v of epoch %d", got, tt.stamp, tt.placing)
+			}
+		})
+	}
+}
+
+func TestAsked(t *testing.T) {
+	tests := map[string]struct {
+		before func(f *fixture)
+		pulsed msgs.Pulsed
+		want   map[string]int // pulses at once
+	}{
+		"no question":               {pulsed: msgs.Pulsed{Host: "p1", Epoch: 4}},
+		"by the own placer":         {pulsed: msgs.Pulsed{Host: "p1", Epoch: 4, Ask: true}, want: map[string]int{"p1": 1}},
+		"with a change of servers":  {pulsed: msgs.Pulsed{Host: "p1", Epoch: 4, Ask: true, Servers: 3}, want: map[string]int{"p1": 1}},
+		"by the one of another one": {pulsed: msgs.Pulsed{Host: "q1", Epoch: 5, Ask: true, Servers: 3}, want: map[string]int{"q1": 1}},
+		"under another epoch":       {pulsed: msgs.Pulsed{Host: "p1", Epoch: 3, Ask: true}},
+		"by a superseded placer": {
+			before: func(f *fixture) { f.tell(0, "", placedA2) },
+			pulsed: msgs.Pulsed{Host: "p1", Epoch: 4, Ask: true},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.tell(2, "v", placedA, placedB)
+			if tt.before != nil {
+				tt.before(f)
+			}
+			f.sent = nil
+			tt.pulsed.Stamp = time.Second
+			f.Handle(tt.pulsed)
+			got := map[string]int{}
+			for host, list := range f.pulses() {
+				got[host] = len(list)
+				if list[0].Stamp != tt.pulsed.Stamp {
+					t.Errorf("stamp %v, want the one of the question, %v", list[0].Stamp, tt.pulsed.Stamp)
+				}
+			}
+			if !maps.Equal(got, tt.want) {
+				t.Fatalf("pulses %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestWithdrawn(t *testing.T) {
+	abandon := func(f *fixture) { f.submitJob("j", "/v/j"); f.Handle(Abandon{Job: "j", Waiter: 1}) }
+	first := []msgs.JobWithdraw{{Job: "j", Host: "h1", Hand: 1}}
+	tests := map[string]struct {
+		act  func(f *fixture)
+		want []msgs.JobWithdraw // listed to p1
+	}{
+		"an open job":         {act: func(f *fixture) { f.submitJob("j", "/v/j") }},
+		"its caller has left": {act: abandon, want: first},
+		"cancelled": {act: func(f *fixture) {
+			f.submitJob("j", "/v/j")
+			f.Handle(Cancel{Authority: "x.example", Path: "/v/j", Job: "j", Reply: func(Kind) {}})
+		}, want: first},
+		"given up": {act: func(f *fixture) {
+			f.submitJob("j", "/v/j")
+			f.wait(2*time.Second + answerSlack + 2*tick)
+		}, want: first},
+		"ended by its placer": {act: func(f *fixture) {
+			f.submitJob("j", "/v/j")
+			f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndComplete})
+		}},
+		"just before it is forgotten": {act: func(f *fixture) { abandon(f); f.wait(withdrawMemory) }, want: first},
+		"forgotten":                   {act: func(f *fixture) { abandon(f); f.wait(withdrawMemory + 2*tick) }},
+		"sent again since":            {act: func(f *fixture) { abandon(f); f.submitJob("j", "/v/j") }, want: first},
+		"sent again and left again": {
+			act: func(f *fixture) { abandon(f); abandon(f) }, want: append(slices.Clone(first), msgs.JobWithdraw{Job: "j", Host: "h1", Hand: 2}),
+		},
+		"it waited for a placer": {act: func(f *fixture) {
+			f.Handle(msgs.Pulsed{Host: "p1", Idle: placedA.Epoch})
+			abandon(f)
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.tell(2, "v", placedA, placedB)
+			tt.act(f)
+			f.sent = nil
+			f.Handle(msgs.Pulsed{Host: "p1", Epoch: 4, Ask: true})
+			f.Handle(msgs.Pulsed{Host: "q1", Epoch: 5, Ask: true})
+			got := f.pulses()
+			if len(got["p1"]) != 1 || !slices.Equal(got["p1"][0].Withdrawn, tt.want) {
+				t.Errorf("pulses to its placer %+v, want one that lists %+v", got["p1"], tt.want)
+			}
+			if len(got["q1"]) != 1 || len(got["q1"][0].Withdrawn) != 0 {
+				t.Errorf("pulses to another placer %+v, want one that lists nothing", got["q1"])
+			}
+		})
+	}
+}
+
+func TestHandNumbers(t *testing.T) {
+	tests := map[string]func(f *fixture){
+		"to a new placer": func(f *fixture) { f.submitJob("j", "/v/j"); f.tell(0, "", placedA2) },
+		"to another data centre": func(f *fixture) {
+			f.submitJob("j", "/v/j")
+			f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndRefused})
+		},
+		"sent again after its caller had left": func(f *fixture) {
+			f.submitJob("j", "/v/j")
+			f.Handle(Abandon{Job: "j", Waiter: 1})
+			f.submitJob("j", "/v/j")
+		},
+		"another job": func(f *fixture) { f.submitJob("j", "/v/j"); f.submitJob("k", "/v/k") },
+	}
+	for name, act := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.tell(2, "v", placedA, placedB)
+			act(f)
+			hands := f.hands()
+			if len(hands) != 2 || hands[0].Hand == 0 || hands[1].Hand <= hands[0].Hand {
+				t.Fatalf("hand-overs %+v, want two with rising numbers", hands)
+			}
+			f.sent = nil
+			last := hands[1]
+			f.Handle(Abandon{Job: last.Job, Waiter: 1})
+			for _, e := range f.sent {
+				if m, ok := e.Body.(msgs.JobWithdraw); !ok || e.To != last.Host || m.Hand != last.Hand {
+					t.Fatalf("%+v to %s, want a withdrawal of hand-over %d to %s", e.Body, e.To, last.Hand, last.Host)
+				}
+			}
+			if len(f.sent) != 1 {
+				t.Fatalf("%d messages as the caller leaves, want one", len(f.sent))
+			}
+		})
+	}
+}
--- a/msgs/fleet.go
+++ b/msgs/fleet.go
@@ -53,13 +53,16 @@
 	Expires      time.Duration // since the job came, after which nobody waits for it
 	Label        string
 	PerServer    int
-	Strict       bool // to be refused unless it can meet its objective
+	Strict       bool   // to be refused unless it can meet its objective
+	Hand         uint64 // number of this hand-over, rises on the entry host
 }
 
-// JobWithdraw tells the placer that nobody waits for the job any more.
+// JobWithdraw tells the placer that nobody waits for the job any more, as far as
+// it was handed over up to Hand.
 type JobWithdraw struct {
 	Job  string
 	Host string
+	Hand uint64
 }
 
 // JobEnded tells the entry host how a job ended.
@@ -72,12 +75,16 @@
 	RetryAfter time.Duration // for a refused job
 }
 
-// Pulse tells a placer that an entry host lives, and asks whether it does.
+// Pulse tells a placer that an entry host lives and waits for the jobs that it
+// hasn't withdrawn, and asks whether the placer lives.
 type Pulse struct {
 	Host        string
 	Incarnation uint64
 	Epoch       uint64
-	Servers     uint64 // version of the table of backend servers that the host has
+	Servers     uint64        // version of the table of backend servers that the host has
+	Placing     uint64        // epoch of the placer that told Stamp, 0 for none
+	Stamp       time.Duration // latest that it told
+	Withdrawn   []JobWithdraw // jobs withdrawn from this placer lately
 }
 
 // Pulsed answers a Pulse.
@@ -89,6 +96,8 @@
 	Servers     uint64         // version of the table of backend servers
 	Since       uint64         // version that Table begins from, 0 for a whole table
 	Table       []model.Server // that changed after Since
+	Stamp       time.Duration  // of the placer's steady clock, since its process began
+	Ask         bool           // the placer needs a pulse now
 }
 
 // ServerSeen passes a backend server's report on to its placer.
--- a/placer/node.go
+++ b/placer/node.go
@@ -16,7 +16,9 @@
 	tick        = 20 * time.Millisecond  // between looks at the clock while something waits: an order is repeated after no less
 	calmTick    = 60 * time.Millisecond  // while all goes well: less than a stop or a refused start is left alone
 	restTick    = 200 * time.Millisecond // while another host places: a fifth of earlyTime
-	hostSilence = 900 * time.Millisecond // after which the jobs of a silent entry host are withdrawn: a resend may come 1.3 s after the break
+	hostSilence = 900 * time.Millisecond // without word that an entry host waits, until its jobs are withdrawn: a resend may come 1.3 s after the break
+	askAfter    = 400 * time.Millisecond // without such word, until the host is asked: two pulses
+	askSpacing  = 50 * time.Millisecond  // between two questions to a host
 	stateTime   = time.Second            // between two looks at the state: operators' systems read it less often
 	earlyTime   = time.Second            // for which jobs are kept that came before the placement was known
 )
@@ -49,6 +51,7 @@
 	Send        func(to, service string, body any) error
 
 	task       *kernel.Task
+	began      time.Time    // that stamps count from
 	placer     *runs.Placer // nil while another host places
 	latest     model.Placement
 	servers    map[string]model.Server
@@ -69,9 +72,21 @@
 // host is an entry host that sends jobs.
 type host struct {
 	incarnation uint64
-	seen        time.Time
-	has         uint64 // version of the table that the host has, 0 for none of this epoch
-	told        uint64 // and that it was sent
+	since       time.Time // when this epoch first heard of its process
+	waited      time.Time // latest time at which it is known to have waited, zero for none
+	asked       time.Time // when a pulse was asked of it last
+	has         uint64    // version of the table that the host has, 0 for none of this epoch
+	told        uint64    // and that it was sent
+}
+
+// silent tells whether the host isn't known to have waited lately.
+func (h *host) silent(now time.Time) bool {
+	return now.Sub(h.since) > hostSilence && now.Sub(h.waited) > hostSilence
+}
+
+// toAsk tells whether a pulse of the host is needed and may be asked for.
+func (h *host) toAsk(now time.Time) bool {
+	return now.Sub(h.waited) > askAfter && now.Sub(h.asked) >= askSpacing
 }
 
 // early is a job that came before this host knew that it places.
@@ -115,6 +130,9 @@
 		Pace:  n.rhythm,
 		Start: func(t *kernel.Task) error {
 			n.task = t
+			if n.began.IsZero() {
+				n.began = t.Env.Now() // a restarted service goes on with its stamps
+			}
 			n.servers = map[string]model.Server{}
 			n.hosts = map[string]*host{}
 			connect(t)
@@ -150,9 +168,7 @@
 	case msgs.JobHand:
 		n.hand(m, now)
 	case msgs.JobWithdraw:
-		if n.placer != nil {
-			n.placer.Withdraw(m.Job, m.Host, 0, now)
-		}
+		n.withdraw(m, now)
 	case answered:
 		n.answered(m, now)
 	case flush:
@@ -189,12 +205,12 @@
 		return
 	}
 	for name, h := range n.hosts {
-		if now.Sub(h.seen) > hostSilence {
+		if h.silent(now) {
 			n.placer.HostLost(name, 0, now)
 			delete(n.hosts, name)
 		}
 	}
-	n.spread()
+	n.spread(now)
 	n.placer.Tick(now)
 	n.carryOut(now)
 	if n.placer != nil && !now.Before(n.stateAt) {
@@ -255,6 +271,7 @@
 		ID:          m.Job,
 		Host:        m.Host,
 		Incarnation: m.Incarnation,
+		Hand:        m.Hand,
 		Route:       m.Route,
 		Service:     m.Service,
 		Spec:        m.Spec,
@@ -271,6 +288,15 @@
 		Strict:    m.Strict,
 		Again:     m.Again || m.Epoch != n.placer.Epoch(), // an earlier process may have taken it
 	}, now)
+	if h := n.hosts[m.Host]; h.toAsk(now) {
+		n.tell(m.Host, h, now)
+	}
+}
+
+func (n *Node) withdraw(m msgs.JobWithdraw, now time.Time) {
+	if n.placer != nil {
+		n.placer.Withdraw(m.Job, m.Host, m.Hand, now)
+	}
 }
 
 // alive notes that an entry host lives. Nobody waits for the jobs of its earlier
@@ -278,14 +304,13 @@
 func (n *Node) alive(name string, incarnation uint64, now time.Time) {
 	h, ok := n.hosts[name]
 	if !ok {
-		h = &host{incarnation: incarnation}
+		h = &host{incarnation: incarnation, since: now}
 		n.hosts[name] = h
 	}
 	if h.incarnation != incarnation {
-		h.incarnation = incarnation
+		h.incarnation, h.since, h.waited = incarnation, now, time.Time{}
 		n.placer.HostLost(name, incarnation, now)
 	}
-	h.seen = now
 }
 
 // beat notes a report of a backend server.
--- a/placer/table.go
+++ b/placer/table.go
@@ -27,7 +27,8 @@
 	n.early = slices.DeleteFunc(n.early, func(e early) bool { return now.Sub(e.came) > earlyTime })
 }
 
-// pulse notes that an entry host lives, and which version of the table it has.
+// pulse notes that an entry host lives, for which jobs it waits, and which version
+// of the table it has.
 func (n *Node) pulse(m msgs.Pulse, now time.Time) {
 	if n.placer == nil {
 		_ = n.Send(m.Host, msgs.ServiceEntry, msgs.Pulsed{Host: n.Self, Incarnation: n.Incarnation, Idle: n.latest.Epoch}) // the host asks again
@@ -40,7 +41,25 @@
 		h.has = m.Servers
 	}
 	n.known()
-	n.tell(m.Host, h)
+	for _, w := range m.Withdrawn {
+		w.Host = m.Host
+		n.withdraw(w, now)
+	}
+	n.waits(m, h, now)
+	n.tell(m.Host, h, now)
+}
+
+// waits notes when an entry host waited: not before the stamp that it returns,
+// however late its pulse is.
+func (n *Node) waits(m msgs.Pulse, h *host, now time.Time) {
+	at := n.began.Add(m.Stamp)
+	if m.Placing != n.placer.Epoch() || at.After(now) {
+		return
+	}
+	if at.After(h.waited) {
+		h.waited = at
+	}
+	n.placer.Waits(m.Host, at, now)
 }
 
 // known lets the servers be used that all other hosts have in their tables: the
@@ -64,17 +83,24 @@
 
 // spread sends what has changed in the table to all entry hosts, without waiting
 // for their pulses.
-func (n *Node) spread() {
+func (n *Node) spread(now time.Time) {
 	for name, h := range n.hosts {
 		if h.told != n.version && name != n.Self {
-			n.tell(name, h)
+			n.tell(name, h, now)
 		}
 	}
 }
 
-// tell answers a host with what has changed since the version that it has.
-func (n *Node) tell(name string, h *host) {
-	reply := msgs.Pulsed{Host: n.Self, Incarnation: n.Incarnation, Epoch: n.placer.Epoch(), Servers: n.version, Since: h.has}
+// tell answers a host with what has changed since the version that it has, and
+// with a stamp to return.
+func (n *Node) tell(name string, h *host, now time.Time) {
+	reply := msgs.Pulsed{
+		Host: n.Self, Incarnation: n.Incarnation, Epoch: n.placer.Epoch(), Servers: n.version, Since: h.has,
+		Stamp: now.Sub(n.began), Ask: h.toAsk(now),
+	}
+	if reply.Ask {
+		h.asked = now
+	}
 	for _, c := range n.changed {
 		if c.version > h.has {
 			reply.Table = append(reply.Table, c.server)
--- /dev/null
+++ b/placer/waiting_test.go
@@ -0,0 +1,176 @@
+package placer
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
+	"dogwoodrock.example/dogwoodrock/msgs"
+	"dogwoodrock.example/dogwoodrock/runs"
+)
+
+// waiting is a placer whose answers to entry hosts are recorded.
+type waiting struct {
+	*Node
+	now  time.Time
+	told []msgs.Pulsed
+}
+
+const (
+	waitEpoch = 4
+	waitAge   = 5 * time.Second // of the process
+)
+
+func newWaiting() *waiting {
+	w := &waiting{now: time.Unix(1000, 0)}
+	w.Node = &Node{
+		Self: "p1", DataCentre: "dc", Incarnation: 1, began: w.now.Add(-waitAge),
+		servers: map[string]model.Server{}, hosts: map[string]*host{},
+		Hooks: Hooks{
+			Began: func(model.Placement, int) {}, Ended: func(uint64, string, int) {}, Event: func(uint64, runs.Event) {},
+			End: func(runs.End) {}, Hand: func(msgs.JobHand) {}, State: func(View) {},
+		},
+		Send: func(_, _ string, body any) error {
+			if m, ok := body.(msgs.Pulsed); ok {
+				w.told = append(w.told, m)
+			}
+			return nil
+		},
+	}
+	w.placed(model.Placement{DataCentre: "dc", Host: "p1", Incarnation: 1, Epoch: waitEpoch}, w.now)
+	return w
+}
+
+// hear takes a pulse of host h1 with a stamp of some time ago.
+func (w *waiting) hear(epoch uint64, ago time.Duration, withdrawn ...msgs.JobWithdraw) {
+	w.pulse(msgs.Pulse{
+		Host: "h1", Incarnation: 1, Placing: epoch, Stamp: w.now.Add(-ago).Sub(w.began), Withdrawn: withdrawn,
+	}, w.now)
+}
+
+// take takes a job of host h1 that waits for what earlier placers left.
+func (w *waiting) take(hand uint64) {
+	w.hand(msgs.JobHand{
+		Job: "j", Host: "h1", Incarnation: 1, Epoch: waitEpoch, Tasks: 1, Again: true, Hand: hand,
+		Objective: time.Minute, Expires: time.Minute,
+	}, w.now)
+}
+
+// TestLateWord has an entry host pulse each 200 ms, with the stamp that it was
+// told last.
+func TestLateWord(t *testing.T) {
+	tests := map[string]struct {
+		late time.Duration // the way of each pulse
+		ends time.Duration // no pulse is sent from then on, 0 for never
+		old  bool          // it returns the first stamp only
+		lost bool
+	}{
+		"prompt":                    {},
+		"late by two pulses":        {late: 400 * time.Millisecond},
+		"all a second late":         {late: time.Second, lost: true},
+		"silent after a while":      {ends: 500 * time.Millisecond, lost: true},
+		"none of its stamps is new": {old: true, lost: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWaiting()
+			type pulse struct {
+				arrives time.Time
+				msgs.Pulse
+			}
+			var way []pulse
+			begin, heard, lost := w.now, 0, false
+			send := func() {
+				p := pulse{arrives: w.now.Add(tt.late), Pulse: msgs.Pulse{Host: "h1", Incarnation: 1}}
+				if n := len(w.told); n > 0 {
+					p.Placing, p.Stamp = waitEpoch, w.told[n-1].Stamp
+					if tt.old {
+						p.Stamp = w.told[0].Stamp
+					}
+				}
+				way = append(way, p)
+			}
+			for ; w.now.Sub(begin) < 4*time.Second; w.now = w.now.Add(tick) {
+				if now := w.now.Sub(begin); now%(200*time.Millisecond) == 0 && (tt.ends == 0 || now < tt.ends) {
+					send()
+				}
+				for len(way) > 0 && !w.now.Before(way[0].arrives) {
+					p := way[0]
+					way = way[1:]
+					heard++
+					w.pulse(p.Pulse, w.now)
+				}
+				known := len(w.hosts)
+				w.tick(w.now)
+				lost = lost || len(w.hosts) < known
+			}
+			if heard == 0 || lost != tt.lost {
+				t.Fatalf("lost %v after %d pulses, want %v", lost, heard, tt.lost)
+			}
+		})
+	}
+}
+
+func TestAsk(t *testing.T) {
+	heard := func(ago time.Duration) func(w *waiting) { return func(w *waiting) { w.hear(waitEpoch, ago) } }
+	tests := map[string]struct {
+		act  func(w *waiting)
+		want []bool // of each answer, whether it asks for a pulse
+	}{
+		"a host that isn't known to have waited": {act: func(w *waiting) { w.hear(0, 0) }, want: []bool{true}},
+		"one that waited lately":                 {act: heard(askAfter), want: []bool{false}},
+		"one that waited some time ago":          {act: heard(askAfter + time.Millisecond), want: []bool{true}},
+		"a stamp of another epoch":               {act: func(w *waiting) { w.hear(waitEpoch-1, 0) }, want: []bool{true}},
+		"a stamp of the future":                  {act: heard(-time.Millisecond), want: []bool{true}},
+		"an older stamp after a newer one":       {act: func(w *waiting) { heard(0)(w); heard(time.Second)(w) }, want: []bool{false, false}},
+		"a hand-over of an unknown host":         {act: func(w *waiting) { w.take(1) }, want: []bool{true}},
+		"hand-overs in a row":                    {act: func(w *waiting) { w.take(1); w.take(2); w.take(3) }, want: []bool{true}},
+		"a hand-over some time later":            {act: func(w *waiting) { w.take(1); w.now = w.now.Add(askSpacing); w.take(2) }, want: []bool{true, true}},
+		"a hand-over of a host that waited":      {act: func(w *waiting) { heard(0)(w); w.take(1) }, want: []bool{false}},
+		"a pulse just after the question":        {act: func(w *waiting) { w.take(1); w.hear(0, 0) }, want: []bool{true, false}},
+		"another process of the host": {act: func(w *waiting) {
+			heard(0)(w)
+			w.pulse(msgs.Pulse{Host: "h1", Incarnation: 2}, w.now)
+		}, want: []bool{false, true}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWaiting()
+			tt.act(w)
+			var got []bool
+			for _, m := range w.told {
+				got = append(got, m.Ask)
+			}
+			if !slices.Equal(got, tt.want) {
+				t.Fatalf("answers that ask %v, want %v", got, tt.want)
+			}
+			if last := w.told[len(w.told)-1]; last.Epoch != waitEpoch || last.Stamp < waitAge {
+				t.Fatalf("answer %+v, want a stamp of the process's age, %v", last, waitAge)
+			}
+		})
+	}
+}
+
+func TestWithdrawnByPulse(t *testing.T) {
+	tests := map[string]struct {
+		withdrawn []msgs.JobWithdraw
+		epoch     uint64 // whose stamp the pulse returns
+		jobs      int    // that are left
+	}{
+		"nothing":                 {epoch: waitEpoch, jobs: 1},
+		"the job":                 {epoch: waitEpoch, withdrawn: []msgs.JobWithdraw{{Job: "j", Host: "h1", Hand: 1}}},
+		"another job":             {epoch: waitEpoch, withdrawn: []msgs.JobWithdraw{{Job: "k", Host: "h1", Hand: 1}}, jobs: 1},
+		"by a host without stamp": {withdrawn: []msgs.JobWithdraw{{Job: "j", Host: "h1", Hand: 1}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWaiting()
+			w.take(1)
+			w.hear(tt.epoch, 0, tt.withdrawn...)
+			if got := w.placer.Jobs(); got != tt.jobs {
+				t.Fatalf("%d jobs are left, want %d", got, tt.jobs)
+			}
+		})
+	}
+}
