--- a/placer/waiting_test.go
+++ b/placer/waiting_test.go
@@ -62,6 +62,7 @@
 func TestLateWord(t *testing.T) {
 	tests := map[string]struct {
 		late time.Duration // the way of each pulse
+		more time.Duration // by which it grows with each pulse up to late, 0 for at once
 		ends time.Duration // no pulse is sent from then on, 0 for never
 		old  bool          // it returns the first stamp only
 		lost bool
@@ -69,6 +70,7 @@
 		"prompt":                    {},
 		"late by two pulses":        {late: 400 * time.Millisecond},
 		"all a second late":         {late: time.Second, lost: true},
+		"later and later":           {late: time.Second, more: 100 * time.Millisecond, lost: true},
 		"silent after a while":      {ends: 500 * time.Millisecond, lost: true},
 		"none of its stamps is new": {old: true, lost: true},
 	}
@@ -81,8 +83,12 @@
 			}
 			var way []pulse
 			begin, heard, lost := w.now, 0, false
+			late := tt.late
+			if tt.more > 0 {
+				late = 0
+			}
 			send := func() {
-				p := pulse{arrives: w.now.Add(tt.late), Pulse: msgs.Pulse{Host: "h1", Incarnation: 1}}
+				p := pulse{arrives: w.now.Add(late), Pulse: msgs.Pulse{Host: "h1", Incarnation: 1}}
 				if n := len(w.told); n > 0 {
 					p.Placing, p.Stamp = waitEpoch, w.told[n-1].Stamp
 					if tt.old {
@@ -90,6 +96,7 @@
 					}
 				}
 				way = append(way, p)
+				late = min(late+tt.more, tt.late)
 			}
 			for ; w.now.Sub(begin) < 4*time.Second; w.now = w.now.Add(tick) {
 				if now := w.now.Sub(begin); now%(200*time.Millisecond) == 0 && (tt.ends == 0 || now < tt.ends) {
