Let leases end with the waiting of entry hosts

What callers saw: a job that was sent again, 1.3 s after its connection had broken, ran twice at the same time when it came to another placer, or to a new one that hadn't seen all servers.

Cause: what ended its first life was a sum of times that each start when the one before is over: the silence of the entry host (0.9 s), its placer's tick, a stop that may get lost, and the lease of that placer's last look (1 s) if it was lost as well. A new placer's first looks prolonged what nobody waited for, and a late hand-over began it. The class: a bound on time that is a sum of others, and that no test holds.

Now a lease is given only until 1.05 s after the latest time at which an entry host is known to have waited for the job, on the placer's clock. The bound no longer depends on who is lost next: whether a placer stops, is frozen or follows another one, nobody can prolong it without a word of the entry host. A run that nobody is known to wait for gets no lease; a server with such a run is not prolonged until it is stopped, after 0.25 s instead of 0.7. A task starts only while its entry host is known to wait. A withdrawal that overtakes its hand-over is remembered. A new placer takes leases of a server to last as long as any can.

--- a/placer/table.go
+++ b/placer/table.go
@@ -59,7 +59,7 @@
 	if at.After(h.waited) {
 		h.waited = at
 	}
-	n.placer.Waits(m.Host, at, now)
+	n.placer.Waits(m.Host, at)
 }
 
 // known lets the servers be used that all other hosts have in their tables: the
--- a/runs/load_test.go
+++ b/runs/load_test.go
@@ -49,6 +49,7 @@
 		}
 	}
 	sp := w.newPlacer(1)
+	w.newHost("h", sp)
 	came := map[string]time.Time{}
 	goal := map[string]time.Duration{}
 	w.onEnd = func(e End) {
--- a/runs/look.go
+++ b/runs/look.go
@@ -39,6 +39,9 @@
 	s.learnClock(m.Clock, now)
 	first := !s.known
 	s.known = true
+	if first {
+		s.lease = max(s.lease, s.clock+longestLease.Milliseconds())
+	}
 	for _, e := range m.Ended {
 		if e.N > s.cursor {
 			s.cursor = e.N
@@ -93,7 +96,7 @@
 	r := &run{name: a.Task, number: a.Run, server: s, state: stateRunning, sent: now, began: now, checked: now}
 	r.demand.CPU = a.CPU
 	s.take(r)
-	p.loosen(r)
+	p.loosen(r, time.Time{})
 	if t := p.taskOf(r.name); t != nil && t.run != nil {
 		p.event(Event{Kind: EventBesides, Job: t.job.ID, Task: r.name, Run: r.number, Server: s.Name})
 	}
--- a/runs/loose.go
+++ b/runs/loose.go
@@ -3,12 +3,13 @@
 import (
 	"slices"
 	"strings"
+	"time"
 )
 
-// loosen notes that no job holds the run. Until it has ended, its task isn't
-// started, whichever job comes to ask for it.
-func (p *Placer) loosen(r *run) {
-	r.task = nil
+// loosen notes that no job holds the run, whose lease has to end by a time. Until
+// it has ended, its task isn't started, whichever job comes to ask for it.
+func (p *Placer) loosen(r *run, ends time.Time) {
+	r.task, r.ends = nil, ends
 	p.loose[r.name] = append(p.loose[r.name], r)
 }
 
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -9,11 +9,13 @@
 )
 
 const (
-	leaseTime    = 950 * time.Millisecond  // given with each order: servers cut a lease at 1 s
+	leaseTime    = 950 * time.Millisecond  // given with each order: servers cut a lease at longestLease
+	longestLease = 1000 * time.Millisecond // that an earlier placer may have given
+	leastLease   = 250 * time.Millisecond  // that a task begins with: pulses and looks prolong it within that
 	leaseSlack   = 30 * time.Millisecond   // added before a lease counts as over, for rounding and late timers
 	clockRate    = 0.98                    // a server's clock runs at least at this rate
 	settleTime   = 1100 * time.Millisecond // in which the last lease of an earlier placer ends on a slow clock
-	orphanTime   = 700 * time.Millisecond  // in which a run that was found has to be claimed by an entry host
+	orphanTime   = 250 * time.Millisecond  // in which a run that was found has to be claimed by an entry host: a renewal tells it of the placer each 200 ms
 	endedMemory  = 3 * time.Second         // how long the ends of jobs, and of runs without a job, are remembered for a resend
 	forgetServer = 10 * time.Second        // after which a server that no one hears of is dropped
 )
@@ -33,6 +35,7 @@
 	waiting     []*job // jobs with tasks that wait for a server, most urgent first
 	again       []*job // jobs that wait for what earlier placers left
 	ended       map[string]endedJob
+	hosts       map[string]*entryHost
 	loose       map[string][]*run   // runs that no job holds and that haven't ended, by task
 	found       map[string]foundEnd // what is known of ended runs that no job held, by task
 	speeds      speeds
@@ -84,6 +87,7 @@
 		servers: map[string]*server{},
 		jobs:    map[string]*job{},
 		ended:   map[string]endedJob{},
+		hosts:   map[string]*entryHost{},
 		loose:   map[string][]*run{},
 		found:   map[string]foundEnd{},
 		speeds:  newSpeeds(),
@@ -109,6 +113,9 @@
 // this host too.
 func (p *Placer) Submit(j Job, now time.Time) {
 	p.awake(now)
+	if w, ok := p.host(j.Host).withdrawn[j.ID]; ok && j.Hand <= w.hand {
+		return // the withdrawal came first
+	}
 	if known, ok := p.jobs[j.ID]; ok {
 		p.rejoin(known, j)
 		return
@@ -117,7 +124,7 @@
 		p.out.Ends = append(p.out.Ends, End{Job: j.ID, Host: j.Host, Route: j.Route, State: e.state, Took: now.Sub(j.Came)})
 		return
 	}
-	k := &job{Job: j, waiters: []waiter{waiterOf(j)}, tasks: make([]task, j.Tasks), open: j.Tasks, idle: j.Tasks}
+	k := &job{Job: j, waiters: []waiter{p.waiterOf(j)}, tasks: make([]task, j.Tasks), open: j.Tasks, idle: j.Tasks}
 	for i := range k.tasks {
 		k.tasks[i] = task{job: k, name: j.ID + ".0.0." + strconv.Itoa(i)}
 	}
@@ -151,13 +158,13 @@
 	}
 }
 
-// drop forgets a job and stops its runs.
-func (p *Placer) drop(j *job, reason string, now time.Time) {
+// drop forgets a job and stops its runs, whose leases have to end by a time.
+func (p *Placer) drop(j *job, until time.Time, reason string, now time.Time) {
 	delete(p.jobs, j.ID)
 	p.unqueue(j)
 	for i := range j.tasks {
 		if r := j.tasks[i].run; r != nil {
-			p.loosen(r)
+			p.loosen(r, until)
 			p.stop(r, reason, now)
 		}
 	}
@@ -179,7 +186,7 @@
 	if state == model.JobEndComplete || state == model.JobEndFailed {
 		p.ended[j.ID] = endedJob{state: state, at: now}
 	}
-	p.drop(j, "job ended", now)
+	p.drop(j, j.until(), "job ended", now)
 }
 
 // Tick does what is due by time.
@@ -192,6 +199,9 @@
 	}
 	p.expire(now)
 	maps.DeleteFunc(p.ended, func(_ string, e endedJob) bool { return now.Sub(e.at) > endedMemory })
+	for _, h := range p.hosts {
+		maps.DeleteFunc(h.withdrawn, func(_ string, w withdrawal) bool { return now.Sub(w.at) > withdrawMemory })
+	}
 	maps.DeleteFunc(p.found, func(_ string, e foundEnd) bool { return now.Sub(e.at) > endedMemory })
 }
 
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -76,6 +76,9 @@
 
 // place starts what it can of a job's waiting tasks.
 func (p *Placer) place(j *job, now time.Time) {
+	if j.until().Sub(now) < leastLease {
+		return // nobody is known to wait for it
+	}
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.done || t.run != nil || len(p.loose[t.name]) > 0 {
@@ -139,7 +142,7 @@
 		if s.Name == t.avoid {
 			o.expected *= standFactor
 		}
-		if o.before(first) {
+		if o.before(first) && !s.until(now.Add(leastLease)).Before(now.Add(leastLease)) {
 			first = o
 		}
 	}
--- a/runs/resend_test.go
+++ b/runs/resend_test.go
@@ -23,6 +23,8 @@
 		servers = append(servers, model.Server{Name: name, Address: name, Service: "svc", Born: 1, CPU: 1000, MemoryMB: 10, Labels: []string{"k"}})
 	}
 	d.p.TakeOver(servers, d.now)
+	d.p.Waits("h1", d.now)
+	d.p.Waits("h2", d.now)
 	d.drain()
 	d.look("a", nil, nil)
 	d.look("b", nil, nil)
--- a/runs/server.go
+++ b/runs/server.go
@@ -12,6 +12,7 @@
 const (
 	lookWait     = 250 * time.Millisecond  // a look waits so long for an end: three fit into a lease
 	unsureTime   = 3 * time.Second         // after an order without an answer, in which looks are kept short
+	renewLease   = 400 * time.Millisecond  // a lease with less left is prolonged at once when it may be: a look waits for less
 	lookLeast    = 20 * time.Millisecond   // a look waits at least so long, so that a run that is overdue isn't asked for all the time
 	lookSlack    = 10 * time.Millisecond   // after the expected end of a run
 	lookRetry    = 20 * time.Millisecond   // before a server that left a look unanswered is looked at again
@@ -38,7 +39,8 @@
 
 	clock   int64     // of the server
 	clockAt time.Time // when the answer that told it came
-	lease   int64     // end of the longest lease given, on the server's clock
+	lease   int64     // latest end of the leases that it may hold, on the server's clock
+	granted int64     // end of the longest lease that this placer gave
 
 	cursor   uint64    // ends up to it are known
 	told     uint64    // the cursor of the last look
@@ -57,7 +59,8 @@
 
 // run is one run of a task on a server.
 type run struct {
-	task     *task // nil when the run is only to be stopped
+	task     *task     // nil when no job holds the run
+	ends     time.Time // of its lease at the latest, when no job holds it
 	name     string
 	number   int
 	server   *server
@@ -157,7 +160,7 @@
 	s.Born = born
 	s.known = false
 	s.cursor, s.told, s.acked = 0, 0, 0
-	s.clock, s.lease = 0, 0
+	s.clock, s.lease, s.granted = 0, 0, 0
 	s.looking = 0
 	s.health = health{}
 	p.event(Event{Kind: EventLost, Server: s.Name, Reason: "restarted"})
@@ -186,16 +189,35 @@
 	}
 }
 
-// grant returns the end of a lease given now, 0 while the clock isn't known.
+// grant returns the end of a lease given now, 0 for none: the clock isn't known,
+// or something runs there that nobody is known to wait for.
 func (s *server) grant(now time.Time) int64 {
-	if s.clock == 0 {
+	end := s.grantable(now)
+	if end <= 0 {
 		return 0
 	}
-	end := s.clock + now.Sub(s.clockAt).Milliseconds() + leaseTime.Milliseconds()
-	s.lease = max(s.lease, end)
+	s.lease, s.granted = max(s.lease, end), max(s.granted, end)
 	return end
 }
 
+func (s *server) grantable(now time.Time) int64 {
+	if s.clock == 0 {
+		return 0
+	}
+	left := s.until(now.Add(leaseTime)).Sub(now)
+	if left <= 0 {
+		return 0
+	}
+	return s.clock + (now.Sub(s.clockAt) + left).Milliseconds()
+}
+
+// short tells whether the lease of what runs on the server ends soon and may be
+// prolonged, since somebody waits for it again.
+func (s *server) short(now time.Time) bool {
+	return len(s.runs) > 0 && s.known && !s.silent && s.granted-s.clockNow(now) < renewLease.Milliseconds() &&
+		s.grantable(now)-s.granted > renewLease.Milliseconds()/2
+}
+
 // lapsed tells whether every lease given is over on the server's clock.
 func (s *server) lapsed(now time.Time) bool {
 	return s.clock > 0 && s.clockNow(now) > s.lease+leaseSlack.Milliseconds()
@@ -258,12 +280,13 @@
 func (p *Placer) lookAround(now time.Time) {
 	for _, s := range p.order {
 		idle := len(s.runs) == 0 && s.known && !s.silent && s.acked == s.cursor
-		if !s.lookNow && (idle || s.looking != 0 || now.Before(s.retryAt)) {
+		urgent := s.lookNow || s.short(now)
+		if !urgent && (idle || s.looking != 0 || now.Before(s.retryAt)) {
 			continue
 		}
 		p.seq++
 		look := Look{Server: s.Server, Seq: p.seq, Cursor: s.cursor, Fence: p.epoch, Deadline: s.grant(now)}
-		if len(s.runs) > 0 && s.known && !s.silent && !s.lookNow {
+		if len(s.runs) > 0 && s.known && !s.silent && !urgent {
 			look.Wait = lookWait
 			if now.Before(p.unsureUntil) {
 				look.Wait = s.nextEnd(now)
--- a/runs/wait.go
+++ b/runs/wait.go
@@ -5,14 +5,51 @@
 	"time"
 )
 
+const (
+	waitTime       = 1050 * time.Millisecond // since an entry host is known to have waited, for which its runs may hold a lease: on a slow clock too it ends 0.2 s before a caller sends a job again
+	withdrawMemory = 3 * time.Second         // for which a withdrawal is remembered: the hand-over may still be on its way
+)
+
+// entryHost is what the placer knows of an entry host.
+type entryHost struct {
+	waited    time.Time             // latest time at which it is known to have waited
+	withdrawn map[string]withdrawal // by job
+}
+
+type withdrawal struct {
+	hand uint64
+	at   time.Time
+}
+
 // waiter is an entry host that waits for the end of a job.
 type waiter struct {
+	*entryHost
 	host        string
 	incarnation uint64
+	hand        uint64
+}
+
+// host returns what is known of an entry host.
+func (p *Placer) host(name string) *entryHost {
+	h, ok := p.hosts[name]
+	if !ok {
+		h = &entryHost{withdrawn: map[string]withdrawal{}}
+		p.hosts[name] = h
+	}
+	return h
+}
+
+func (p *Placer) waiterOf(j Job) waiter {
+	return waiter{entryHost: p.host(j.Host), host: j.Host, incarnation: j.Incarnation, hand: j.Hand}
 }
 
-func waiterOf(j Job) waiter {
-	return waiter{host: j.Host, incarnation: j.Incarnation}
+// Waits tells that an entry host waited at a time for the jobs that it hasn't
+// withdrawn. Runs of its jobs hold leases until waitTime after that, whatever is
+// lost since then: the host, this placer or the next one.
+func (p *Placer) Waits(host string, at time.Time) {
+	if h := p.host(host); at.After(h.waited) {
+		h.waited = at
+	}
 }
 
 // rejoin lets a host wait for a job that is known. A caller's latest request
@@ -21,17 +58,19 @@
 	known.Came, known.Expires = j.Came, j.Expires
 	i := slices.IndexFunc(known.waiters, func(w waiter) bool { return w.host == j.Host })
 	if i >= 0 {
-		known.waiters[i] = waiterOf(j)
+		known.waiters[i] = p.waiterOf(j)
 		return
 	}
-	known.waiters = append(known.waiters, waiterOf(j))
+	known.waiters = append(known.waiters, p.waiterOf(j))
 	p.event(Event{Kind: EventRejoined, Job: j.ID, Reason: j.Host})
 }
 
-// Withdraw tells that a host waits for a job no more.
+// Withdraw tells that a host waits no more for a job that it handed over, which
+// may not have arrived yet.
 func (p *Placer) Withdraw(id, host string, hand uint64, now time.Time) {
+	p.host(host).withdrawn[id] = withdrawal{hand: hand, at: now}
 	if j, ok := p.jobs[id]; ok {
-		p.leave(j, "withdrawn", now, func(w waiter) bool { return w.host == host })
+		p.leave(j, "withdrawn", now, func(w waiter) bool { return w.host == host && w.hand <= hand })
 	}
 }
 
@@ -43,16 +82,47 @@
 			return w.host == host && (incarnation == 0 || w.incarnation != incarnation)
 		})
 	}
+	delete(p.hosts, host)
 }
 
 // leave takes waiters off a job. A job that nobody waits for is dropped.
 func (p *Placer) leave(j *job, reason string, now time.Time, gone func(w waiter) bool) {
+	until := j.until()
 	if j.waiters = slices.DeleteFunc(j.waiters, gone); len(j.waiters) == 0 {
-		p.drop(j, reason, now)
+		p.drop(j, until, reason, now)
 	}
 }
 
-// Waits tells that an entry host waited at a time for the jobs that it hasn't
-// withdrawn.
-func (p *Placer) Waits(host string, at, now time.Time) {
+// until returns when the leases of the job's runs have to end, unless one of its
+// entry hosts is heard of.
+func (j *job) until() time.Time {
+	var last time.Time
+	for _, w := range j.waiters {
+		if w.waited.After(last) {
+			last = w.waited
+		}
+	}
+	if last.IsZero() {
+		return last
+	}
+	return last.Add(waitTime)
+}
+
+// until returns when the run's lease has to end.
+func (r *run) until() time.Time {
+	if r.task != nil {
+		return r.task.job.until()
+	}
+	return r.ends
+}
+
+// until returns when the lease of the server has to end, for the run on it that
+// is waited for least, but no later than a time.
+func (s *server) until(latest time.Time) time.Time {
+	for _, r := range s.runs {
+		if end := r.until(); end.Before(latest) {
+			latest = end
+		}
+	}
+	return latest
 }
