Withdraw a job that the placer before has ended

When a placer told the end of a job that had been handed over to the next one since, the caller got its answer, but nothing told the next placer that nobody waits: it would run the tasks again, or keep them until their time was over, as the entry host's pulses say that it waits for all that it hasn't withdrawn.

Found by reading. The new case of TestWithdrawn failed before: no withdrawal was listed.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -223,6 +223,9 @@
 	switch m.State {
 	case model.JobEndComplete:
 		out.Kind = KindComplete
+		if m.Epoch != j.placement.Epoch {
+			n.withdraw(j, now) // from the placer that it was handed to since
+		}
 	case model.JobEndFailed:
 		out.Kind = KindFailed
 	case model.JobEndRefused:
--- a/entry/waiting_test.go
+++ b/entry/waiting_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"testing"
@@ -100,8 +101,9 @@
 	abandon := func(f *fixture) { f.submitJob("j", "/v/j"); f.Handle(Abandon{Job: "j", Waiter: 1}) }
 	first := []msgs.JobWithdraw{{Job: "j", Host: "h1", Hand: 1}}
 	tests := map[string]struct {
-		act  func(f *fixture)
-		want []msgs.JobWithdraw // listed to p1
+		act   func(f *fixture)
+		epoch uint64             // of p1, 0 for its first one
+		want  []msgs.JobWithdraw // listed to p1
 	}{
 		"an open job":         {act: func(f *fixture) { f.submitJob("j", "/v/j") }},
 		"its caller has left": {act: abandon, want: first},
@@ -117,6 +119,12 @@
 			f.submitJob("j", "/v/j")
 			f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndComplete})
 		}},
+		"ended by the placer before": {act: func(f *fixture) {
+			f.tell(0, "", model.Placement{DataCentre: "a", Host: "p0", Incarnation: 1, Epoch: 6})
+			f.submitJob("j", "/v/j")
+			f.tell(0, "", model.Placement{DataCentre: "a", Host: "p1", Incarnation: 1, Epoch: 8})
+			f.Handle(msgs.JobEnded{Job: "j", Host: "p0", Epoch: 6, State: model.JobEndComplete})
+		}, epoch: 8, want: []msgs.JobWithdraw{{Job: "j", Host: "h1", Hand: 2}}},
 		"just before it is forgotten": {act: func(f *fixture) { abandon(f); f.wait(withdrawMemory) }, want: first},
 		"forgotten":                   {act: func(f *fixture) { abandon(f); f.wait(withdrawMemory + 2*tick) }},
 		"sent again since":            {act: func(f *fixture) { abandon(f); f.submitJob("j", "/v/j") }, want: first},
@@ -134,7 +142,7 @@
 			f.tell(2, "v", placedA, placedB)
 			tt.act(f)
 			f.sent = nil
-			f.Handle(msgs.Pulsed{Host: "p1", Epoch: 4, Ask: true})
+			f.Handle(msgs.Pulsed{Host: "p1", Epoch: cmp.Or(tt.epoch, placedA.Epoch), Ask: true})
 			f.Handle(msgs.Pulsed{Host: "q1", Epoch: 5, Ask: true})
 			got := f.pulses()
 			if len(got["p1"]) != 1 || !slices.Equal(got["p1"][0].Withdrawn, tt.want) {
