Let jobs that are handed over late wait for the last lease of the placer before

What callers saw: nothing yet; found while looking for the same cause elsewhere. A placer without the whole table of servers starts the jobs that were handed over again 1.1 s after it began. An entry host that learns of it only later (its core is slow or out of reach) keeps waiting with the placer before until then, so that one may still prolong the job's runs, on servers that the new placer doesn't know.

The wait now counts from each hand-over, after which the host waits with the placer before no more.

Evidence: TestHandedOverAgain failed before in two of its five cases ("the job waits: false, want true").

--- a/runs/placer.go
+++ b/runs/placer.go
@@ -14,7 +14,7 @@
 	leastLease   = 250 * time.Millisecond  // that a task begins with: pulses and looks prolong it within that
 	leaseSlack   = 30 * time.Millisecond   // added before a lease counts as over, for rounding and late timers
 	clockRate    = 0.98                    // a server's clock runs at least at this rate
-	settleTime   = 1100 * time.Millisecond // in which the last lease of an earlier placer ends on a slow clock
+	settleTime   = 1100 * time.Millisecond // since a job was handed over, in which a lease that an earlier placer gave its runs ends on a slow clock: waitTime and more
 	orphanTime   = 250 * time.Millisecond  // in which a run that was found has to be claimed by an entry host: a renewal tells it of the placer each 200 ms
 	endedMemory  = 3 * time.Second         // how long the ends of jobs, and of runs without a job, are remembered for a resend
 	forgetServer = 10 * time.Second        // after which a server that no one hears of is dropped
@@ -54,6 +54,7 @@
 	due     time.Time // latest start that meets the objective
 	order   time.Time // place in the queue
 	began   bool      // a task was started
+	clear   time.Time // when no earlier placer can have prolonged its runs, for a job of one
 }
 
 type task struct {
@@ -139,7 +140,8 @@
 		return
 	}
 	p.jobs[j.ID] = k
-	if j.Again && !p.settled {
+	if j.Again && !p.allKnown() {
+		k.clear = now.Add(settleTime)
 		p.again = append(p.again, k)
 		return
 	}
@@ -207,14 +209,21 @@
 
 // settle lets the jobs of earlier placers go on once it is known what runs.
 func (p *Placer) settle(now time.Time) {
-	if p.settled || (!p.allKnown() && now.Sub(p.began) < settleTime) {
+	if p.settled && len(p.again) == 0 {
 		return
 	}
-	p.settled = true
-	p.event(Event{Kind: EventSettled, Took: now.Sub(p.began)})
+	known := p.allKnown()
+	if !p.settled && (known || now.Sub(p.began) >= settleTime) {
+		p.settled = true
+		p.event(Event{Kind: EventSettled, Took: now.Sub(p.began)})
+	}
 	again := p.again
 	p.again = nil
 	for _, j := range again {
+		if !known && now.Before(j.clear) {
+			p.again = append(p.again, j)
+			continue
+		}
 		p.admit(j, now)
 	}
 }
--- a/runs/resend_test.go
+++ b/runs/resend_test.go
@@ -13,16 +13,23 @@
 	now time.Time
 	p   *Placer
 	out Output
+
+	servers []model.Server
 }
 
-func newDesk(t *testing.T) *desk {
+func newDesk(t *testing.T) *desk { return newDeskWith(t, true) }
+
+// newDeskWith returns a placer that knows all servers of the placer before, or
+// doesn't know whether it does.
+func newDeskWith(t *testing.T, whole bool) *desk {
 	d := &desk{t: t, now: time.Unix(1000, 0)}
-	d.p = New(1, true, d.now)
+	d.p = New(1, whole, d.now)
 	var servers []model.Server
 	for _, name := range []string{"a", "b"} {
 		servers = append(servers, model.Server{Name: name, Address: name, Service: "svc", Born: 1, CPU: 1000, MemoryMB: 10, Labels: []string{"k"}})
 	}
 	d.p.TakeOver(servers, d.now)
+	d.servers = servers
 	d.p.Waits("h1", d.now)
 	d.p.Waits("h2", d.now)
 	d.drain()
@@ -147,3 +154,50 @@
 		})
 	}
 }
+
+// TestHandedOverAgain has jobs come that the placer before may have started, some
+// of them late: their entry hosts were told of this placer by a slow core.
+func TestHandedOverAgain(t *testing.T) {
+	tests := map[string]struct {
+		whole bool
+		after time.Duration // the placer began
+		waits bool
+	}{
+		"all servers are known":                      {whole: true},
+		"all servers are known, and it comes late":   {whole: true, after: 3 * time.Second},
+		"some servers may be unknown":                {waits: true},
+		"the last lease of before is nearly over":    {after: settleTime - 10*time.Millisecond, waits: true},
+		"the host followed the placer before so far": {after: 3 * time.Second, waits: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDeskWith(t, tt.whole)
+			pass := func(span time.Duration) (starts int) {
+				for end := d.now.Add(span); d.now.Before(end); d.now = d.now.Add(50 * time.Millisecond) {
+					d.p.Waits("h1", d.now)
+					for i := range d.servers {
+						d.servers[i].Seq++
+						d.p.Report(d.servers[i], d.now)
+					}
+					d.p.Tick(d.now)
+					for _, o := range d.drain().Looks {
+						d.look(o.Server.Name, nil, nil)
+					}
+					starts += len(d.out.Starts)
+				}
+				return starts
+			}
+			pass(tt.after)
+			d.p.Submit(Job{
+				ID: "j", Host: "h1", Service: "svc", Tasks: 1, Attempts: 3, Came: d.now, Again: true,
+				Objective: time.Minute, Expires: time.Minute, Demand: model.Demand{CPU: 1000, MemoryMB: 1, Expected: 200 * time.Millisecond},
+			}, d.now)
+			if waits := pass(settleTime-50*time.Millisecond) == 0; waits != tt.waits {
+				t.Fatalf("the job waits: %v, want %v", waits, tt.waits)
+			}
+			if tt.waits && pass(200*time.Millisecond) != 1 {
+				t.Fatal("the job doesn't begin after the last lease of the placer before")
+			}
+		})
+	}
+}
