Ask entry hosts that weren't heard of lately while jobs are open

What callers would see: two pulses that are lost in a row, or a host that is short of processor time, make a placer take the host for lost and stop the runs of its callers, since what it knows of the host's waiting is older than its last pulse. Withdrawals are listed in pulses for as long as the reliable link may repeat the hand-over before them.

TestAsk: the case "no word while a job is open" failed before.

--- a/entry/node.go
+++ b/entry/node.go
@@ -22,7 +22,7 @@
 	parkTime      = 300 * time.Millisecond // for the next placer of the own data centre, before others are asked: the core's own wait after an election
 	answerSlack   = 150 * time.Millisecond // after the end of the caller's patience, for the placer's own answer
 
-	withdrawMemory = 2 * time.Second // for which pulses list a withdrawal: they may overtake the one on the reliable link
+	withdrawMemory = 3 * time.Second // for which pulses list a withdrawal: the reliable link may repeat the hand-over before it for up to 2.6 s
 )
 
 // Config is what a Node is told at its start.
--- a/placer/node.go
+++ b/placer/node.go
@@ -205,9 +205,12 @@
 		return
 	}
 	for name, h := range n.hosts {
-		if h.silent(now) {
+		switch {
+		case h.silent(now):
 			n.placer.HostLost(name, 0, now)
 			delete(n.hosts, name)
+		case n.placer.Jobs() > 0 && h.toAsk(now):
+			n.tell(name, h, now)
 		}
 	}
 	n.spread(now)
--- a/placer/waiting_test.go
+++ b/placer/waiting_test.go
@@ -135,6 +135,17 @@
 		"hand-overs in a row":                    {act: func(w *waiting) { w.take(1); w.take(2); w.take(3) }, want: []bool{true}},
 		"a hand-over some time later":            {act: func(w *waiting) { w.take(1); w.now = w.now.Add(askSpacing); w.take(2) }, want: []bool{true, true}},
 		"a hand-over of a host that waited":      {act: func(w *waiting) { heard(0)(w); w.take(1) }, want: []bool{false}},
+		"no word while a job is open": {act: func(w *waiting) {
+			heard(0)(w)
+			w.take(1)
+			w.now = w.now.Add(askAfter + tick)
+			w.tick(w.now)
+		}, want: []bool{false, true}},
+		"no word while no job is open": {act: func(w *waiting) {
+			heard(0)(w)
+			w.now = w.now.Add(askAfter + tick)
+			w.tick(w.now)
+		}, want: []bool{false}},
 		"a pulse just after the question":        {act: func(w *waiting) { w.take(1); w.hear(0, 0) }, want: []bool{true, false}},
 		"another process of the host": {act: func(w *waiting) {
 			heard(0)(w)
@@ -164,16 +175,18 @@
 		withdrawn []msgs.JobWithdraw
 		epoch     uint64 // whose stamp the pulse returns
 		jobs      int    // that are left
+		hand      uint64 // of the job, 0 for the first
 	}{
 		"nothing":                 {epoch: waitEpoch, jobs: 1},
 		"the job":                 {epoch: waitEpoch, withdrawn: []msgs.JobWithdraw{{Job: "j", Host: "h1", Hand: 1}}},
 		"another job":             {epoch: waitEpoch, withdrawn: []msgs.JobWithdraw{{Job: "k", Host: "h1", Hand: 1}}, jobs: 1},
+		"an earlier hand-over":    {epoch: waitEpoch, withdrawn: []msgs.JobWithdraw{{Job: "j", Host: "h1", Hand: 1}}, jobs: 1, hand: 2},
 		"by a host without stamp": {withdrawn: []msgs.JobWithdraw{{Job: "j", Host: "h1", Hand: 1}}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			w := newWaiting()
-			w.take(1)
+			w.take(max(tt.hand, 1))
 			w.hear(tt.epoch, 0, tt.withdrawn...)
 			if got := w.placer.Jobs(); got != tt.jobs {
 				t.Fatalf("%d jobs are left, want %d", got, tt.jobs)
