Take a withdrawal only for the process that sent it

An entry host numbers its hand-overs anew when it starts. A withdrawal of the process before that comes late named a higher number and stopped the first jobs of the new one, whose callers got no answer in time.

TestWithdrawnByPulse: the case "by another process" failed before.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -288,7 +288,7 @@
 	if j.parked {
 		return // no placer has it
 	}
-	m := msgs.JobWithdraw{Job: j.hand.Job, Host: n.Self, Hand: j.hand.Hand}
+	m := msgs.JobWithdraw{Job: j.hand.Job, Host: n.Self, Incarnation: n.Incarnation, Hand: j.hand.Hand}
 	host := j.placement.Host
 	n.withdrawn[host] = append(n.withdrawn[host], withdrawn{job: m, at: now})
 	_ = n.Send(host, msgs.ServicePlacer, m) // or it ends by its time
--- a/entry/waiting_test.go
+++ b/entry/waiting_test.go
@@ -99,7 +99,7 @@
 
 func TestWithdrawn(t *testing.T) {
 	abandon := func(f *fixture) { f.submitJob("j", "/v/j"); f.Handle(Abandon{Job: "j", Waiter: 1}) }
-	first := []msgs.JobWithdraw{{Job: "j", Host: "h1", Hand: 1}}
+	first := []msgs.JobWithdraw{{Job: "j", Host: "h1", Incarnation: 3, Hand: 1}}
 	tests := map[string]struct {
 		act   func(f *fixture)
 		epoch uint64             // of p1, 0 for its first one
@@ -124,12 +124,12 @@
 			f.submitJob("j", "/v/j")
 			f.tell(0, "", model.Placement{DataCentre: "a", Host: "p1", Incarnation: 1, Epoch: 8})
 			f.Handle(msgs.JobEnded{Job: "j", Host: "p0", Epoch: 6, State: model.JobEndComplete})
-		}, epoch: 8, want: []msgs.JobWithdraw{{Job: "j", Host: "h1", Hand: 2}}},
+		}, epoch: 8, want: []msgs.JobWithdraw{{Job: "j", Host: "h1", Incarnation: 3, Hand: 2}}},
 		"just before it is forgotten": {act: func(f *fixture) { abandon(f); f.wait(withdrawMemory) }, want: first},
 		"forgotten":                   {act: func(f *fixture) { abandon(f); f.wait(withdrawMemory + 2*tick) }},
 		"sent again since":            {act: func(f *fixture) { abandon(f); f.submitJob("j", "/v/j") }, want: first},
 		"sent again and left again": {
-			act: func(f *fixture) { abandon(f); abandon(f) }, want: append(slices.Clone(first), msgs.JobWithdraw{Job: "j", Host: "h1", Hand: 2}),
+			act: func(f *fixture) { abandon(f); abandon(f) }, want: append(slices.Clone(first), msgs.JobWithdraw{Job: "j", Host: "h1", Incarnation: 3, Hand: 2}),
 		},
 		"it waited for a placer": {act: func(f *fixture) {
 			f.Handle(msgs.Pulsed{Host: "p1", Idle: placedA.Epoch})
--- a/msgs/fleet.go
+++ b/msgs/fleet.go
@@ -60,9 +60,10 @@
 // JobWithdraw tells the placer that nobody waits for the job any more, as far as
 // it was handed over up to Hand.
 type JobWithdraw struct {
-	Job  string
-	Host string
-	Hand uint64
+	Job         string
+	Host        string
+	Incarnation uint64 // of the host's process
+	Hand        uint64
 }
 
 // JobEnded tells the entry host how a job ended.
@@ -79,6 +80,7 @@
 // hasn't withdrawn, and asks whether the placer lives.
 type Pulse struct {
 	Host        string
+	DataCentre  string // of the host
 	Incarnation uint64
 	Epoch       uint64
 	Servers     uint64        // version of the table of backend servers that the host has
--- a/placer/node.go
+++ b/placer/node.go
@@ -297,6 +297,9 @@
 }
 
 func (n *Node) withdraw(m msgs.JobWithdraw, now time.Time) {
+	if h := n.hosts[m.Host]; h != nil && h.incarnation != m.Incarnation {
+		return // another process of the host numbers its hand-overs anew
+	}
 	if n.placer != nil {
 		n.placer.Withdraw(m.Job, m.Host, m.Hand, now)
 	}
--- a/placer/waiting_test.go
+++ b/placer/waiting_test.go
@@ -146,7 +146,7 @@
 			w.now = w.now.Add(askAfter + tick)
 			w.tick(w.now)
 		}, want: []bool{false}},
-		"a pulse just after the question":        {act: func(w *waiting) { w.take(1); w.hear(0, 0) }, want: []bool{true, false}},
+		"a pulse just after the question": {act: func(w *waiting) { w.take(1); w.hear(0, 0) }, want: []bool{true, false}},
 		"another process of the host": {act: func(w *waiting) {
 			heard(0)(w)
 			w.pulse(msgs.Pulse{Host: "h1", Incarnation: 2}, w.now)
@@ -178,10 +178,11 @@
 		hand      uint64 // of the job, 0 for the first
 	}{
 		"nothing":                 {epoch: waitEpoch, jobs: 1},
-		"the job":                 {epoch: waitEpoch, withdrawn: []msgs.JobWithdraw{{Job: "j", Host: "h1", Hand: 1}}},
-		"another job":             {epoch: waitEpoch, withdrawn: []msgs.JobWithdraw{{Job: "k", Host: "h1", Hand: 1}}, jobs: 1},
-		"an earlier hand-over":    {epoch: waitEpoch, withdrawn: []msgs.JobWithdraw{{Job: "j", Host: "h1", Hand: 1}}, jobs: 1, hand: 2},
-		"by a host without stamp": {withdrawn: []msgs.JobWithdraw{{Job: "j", Host: "h1", Hand: 1}}},
+		"the job":                 {epoch: waitEpoch, withdrawn: []msgs.JobWithdraw{{Job: "j", Host: "h1", Incarnation: 1, Hand: 1}}},
+		"another job":             {epoch: waitEpoch, withdrawn: []msgs.JobWithdraw{{Job: "k", Host: "h1", Incarnation: 1, Hand: 1}}, jobs: 1},
+		"an earlier hand-over":    {epoch: waitEpoch, withdrawn: []msgs.JobWithdraw{{Job: "j", Host: "h1", Incarnation: 1, Hand: 1}}, jobs: 1, hand: 2},
+		"by another process":      {epoch: waitEpoch, withdrawn: []msgs.JobWithdraw{{Job: "j", Host: "h1", Incarnation: 7, Hand: 50}}, jobs: 1},
+		"by a host without stamp": {withdrawn: []msgs.JobWithdraw{{Job: "j", Host: "h1", Incarnation: 1, Hand: 1}}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
