Tell the table of servers to hosts of the own data centre only

What callers saw: while entry hosts of another data centre handed jobs over, new servers got no tasks for half a second, since those hosts were waited for to confirm a table that they don't keep; and each answer to their pulses carried the whole table between data centres, 90 servers on a grown site.

Evidence: TestForeignHosts failed before ("it is told 1 servers, want 0").

--- a/entry/node.go
+++ b/entry/node.go
@@ -326,7 +326,7 @@
 
 // pulseTo sends one pulse.
 func (n *Node) pulseTo(host string, now time.Time) {
-	m := msgs.Pulse{Host: n.Self, Incarnation: n.Incarnation, Epoch: n.tableEpoch, Servers: n.servers}
+	m := msgs.Pulse{Host: n.Self, DataCentre: n.DataCentre, Incarnation: n.Incarnation, Epoch: n.tableEpoch, Servers: n.servers}
 	for _, w := range n.withdrawn[host] {
 		m.Withdrawn = append(m.Withdrawn, w.job)
 	}
--- a/placer/node.go
+++ b/placer/node.go
@@ -75,6 +75,7 @@
 	since       time.Time // when this epoch first heard of its process
 	waited      time.Time // latest time at which it is known to have waited, zero for none
 	asked       time.Time // when a pulse was asked of it last
+	near        bool      // of this data centre, so that it keeps the table
 	has         uint64    // version of the table that the host has, 0 for none of this epoch
 	told        uint64    // and that it was sent
 }
--- a/placer/table.go
+++ b/placer/table.go
@@ -36,6 +36,7 @@
 	}
 	n.alive(m.Host, m.Incarnation, now)
 	h := n.hosts[m.Host]
+	h.near = m.DataCentre == n.DataCentre
 	h.has = 0
 	if m.Epoch == n.placer.Epoch() {
 		h.has = m.Servers
@@ -62,12 +63,12 @@
 	n.placer.Waits(m.Host, at)
 }
 
-// known lets the servers be used that all other hosts have in their tables: the
-// next placer would know of them.
+// known lets the servers be used that all other hosts of the data centre have in
+// their tables: the next placer would know of them.
 func (n *Node) known() {
 	least := uint64(math.MaxUint64)
 	for name, h := range n.hosts {
-		if name != n.Self {
+		if name != n.Self && h.near {
 			least = min(least, h.has)
 		}
 	}
@@ -81,11 +82,11 @@
 	}
 }
 
-// spread sends what has changed in the table to all entry hosts, without waiting
-// for their pulses.
+// spread sends what has changed in the table to the entry hosts that keep it,
+// without waiting for their pulses.
 func (n *Node) spread(now time.Time) {
 	for name, h := range n.hosts {
-		if h.told != n.version && name != n.Self {
+		if h.told != n.version && name != n.Self && h.near {
 			n.tell(name, h, now)
 		}
 	}
@@ -102,7 +103,7 @@
 		h.asked = now
 	}
 	for _, c := range n.changed {
-		if c.version > h.has {
+		if h.near && c.version > h.has {
 			reply.Table = append(reply.Table, c.server)
 		}
 	}
--- a/placer/waiting_test.go
+++ b/placer/waiting_test.go
@@ -45,7 +45,7 @@
 // hear takes a pulse of host h1 with a stamp of some time ago.
 func (w *waiting) hear(epoch uint64, ago time.Duration, withdrawn ...msgs.JobWithdraw) {
 	w.pulse(msgs.Pulse{
-		Host: "h1", Incarnation: 1, Placing: epoch, Stamp: w.now.Add(-ago).Sub(w.began), Withdrawn: withdrawn,
+		Host: "h1", DataCentre: "dc", Incarnation: 1, Placing: epoch, Stamp: w.now.Add(-ago).Sub(w.began), Withdrawn: withdrawn,
 	}, w.now)
 }
 
@@ -195,3 +195,37 @@
 		})
 	}
 }
+
+// TestForeignHosts has an entry host of another data centre hand jobs over. It
+// doesn't keep the table of servers, nor hold the use of new ones back.
+func TestForeignHosts(t *testing.T) {
+	tests := map[string]struct {
+		dc     string
+		table  int // servers that it is told
+		usable int // at once after the other hosts know of them
+	}{
+		"of this data centre": {dc: "dc", table: 1},
+		"of another one":      {dc: "other", usable: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWaiting()
+			w.beat(model.Server{Name: "s", DataCentre: "dc", Service: "svc", CPU: 100, Born: 1, Seq: 1}, w.now)
+			for _, l := range w.placer.Drain(w.now).Looks {
+				w.placer.Looked(runs.Seen{Server: "s", Born: 1, Seq: l.Seq, Outcome: runs.OutcomeTaken, Clock: 1, Sent: w.now}, w.now)
+			}
+			w.pulse(msgs.Pulse{Host: "far", DataCentre: tt.dc, Incarnation: 1, Epoch: 9}, w.now)
+			if got := len(w.told[len(w.told)-1].Table); got != tt.table {
+				t.Fatalf("it is told %d servers, want %d", got, tt.table)
+			}
+			w.pulse(msgs.Pulse{Host: "near", DataCentre: "dc", Incarnation: 1, Epoch: waitEpoch, Servers: w.version}, w.now)
+			usable := 0
+			for _, k := range w.placer.Kinds(w.now) {
+				usable += k.Usable
+			}
+			if usable != tt.usable {
+				t.Fatalf("%d servers are usable, want %d", usable, tt.usable)
+			}
+		})
+	}
+}
