Claim runs that a new placer finds as soon as their job is known

What callers saw: a task ran twice at the same time after its placer was lost. With one server dark, the next placer makes the jobs that are handed over again wait for the last lease of the one before, 1.1 s. The runs that it found of them counted as claimed by nobody meanwhile: it stopped them after 0.7 s, and then began the tasks anew while the stop was on its way, or was carried out late.

Cause: one task under two keys again, the run under its server and the job in the list of those that wait; they met only when the waiting was over.

A run is now adopted when it is found or when its job comes, whichever is later. No run that somebody waits for is stopped any more, and its server's lease is prolonged from then on.

--- a/runs/look.go
+++ b/runs/look.go
@@ -105,6 +105,9 @@
 		return
 	}
 	r.stopAt = now.Add(orphanTime)
+	if t := p.taskOf(r.name); t != nil {
+		p.adopt(t, now)
+	}
 }
 
 // adopt gives a task the run or the end that no job holds. It returns false when
@@ -196,7 +199,7 @@
 func (p *Placer) retry(t *task, reason string) {
 	p.event(Event{Kind: EventRetried, Job: t.job.ID, Task: t.name, Run: t.last, Reason: reason})
 	t.job.idle++
-	if t.job.idle == 1 {
+	if t.job.idle == 1 && t.job.clear.IsZero() {
 		p.enqueue(t.job)
 	}
 }
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -54,7 +54,7 @@
 	due     time.Time // latest start that meets the objective
 	order   time.Time // place in the queue
 	began   bool      // a task was started
-	clear   time.Time // when no earlier placer can have prolonged its runs, for a job of one
+	clear   time.Time // when no earlier placer can have prolonged its runs, while it waits for that
 }
 
 type task struct {
@@ -140,21 +140,31 @@
 		return
 	}
 	p.jobs[j.ID] = k
+	if !p.claim(k, now) {
+		return
+	}
 	if j.Again && !p.allKnown() {
 		k.clear = now.Add(settleTime)
 		p.again = append(p.again, k)
 		return
 	}
-	p.admit(k, now)
+	p.admit(k)
 }
 
-// admit puts a job into the queue after the runs that were found of it.
-func (p *Placer) admit(j *job, now time.Time) {
+// claim gives a job the runs that were found of it. It returns false when that
+// ended the job.
+func (p *Placer) claim(j *job, now time.Time) bool {
 	for i := range j.tasks {
 		if !p.adopt(&j.tasks[i], now) {
-			return // the job has ended
+			return false
 		}
 	}
+	return true
+}
+
+// admit puts a job into the queue.
+func (p *Placer) admit(j *job) {
+	j.clear = time.Time{}
 	if j.idle > 0 {
 		p.enqueue(j)
 	}
@@ -224,7 +234,7 @@
 			p.again = append(p.again, j)
 			continue
 		}
-		p.admit(j, now)
+		p.admit(j)
 	}
 }
 
--- a/runs/resend_test.go
+++ b/runs/resend_test.go
@@ -22,6 +22,19 @@
 // newDeskWith returns a placer that knows all servers of the placer before, or
 // doesn't know whether it does.
 func newDeskWith(t *testing.T, whole bool) *desk {
+	d := begun(t, whole)
+	d.p.Waits("h1", d.now)
+	d.p.Waits("h2", d.now)
+	d.look("a", nil, nil)
+	d.look("b", nil, nil)
+	d.drain()
+	return d
+}
+
+// newDarkDesk returns a placer whose servers have not answered yet.
+func newDarkDesk(t *testing.T) *desk { return begun(t, true) }
+
+func begun(t *testing.T, whole bool) *desk {
 	d := &desk{t: t, now: time.Unix(1000, 0)}
 	d.p = New(1, whole, d.now)
 	var servers []model.Server
@@ -30,11 +43,6 @@
 	}
 	d.p.TakeOver(servers, d.now)
 	d.servers = servers
-	d.p.Waits("h1", d.now)
-	d.p.Waits("h2", d.now)
-	d.drain()
-	d.look("a", nil, nil)
-	d.look("b", nil, nil)
 	d.drain()
 	return d
 }
@@ -201,3 +209,63 @@
 		})
 	}
 }
+
+// TestFoundRunsAreClaimedAtOnce has a new placer find a run while another server
+// is dark, so that jobs of before wait for its lease.
+func TestFoundRunsAreClaimedAtOnce(t *testing.T) {
+	tests := map[string]struct {
+		handed time.Duration // when the job is handed over again, after the run is found; before it when negative
+		waits  bool          // its entry host is heard of
+		stops  int
+		leases bool // the server's lease is prolonged
+	}{
+		"handed over before":            {handed: -1, waits: true, leases: true},
+		"handed over after":             {handed: 100 * time.Millisecond, waits: true, leases: true},
+		"nobody hands it over":          {handed: time.Hour, waits: true, stops: 1},
+		"its entry host isn't heard of": {handed: -1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDarkDesk(t)
+			submit := func() {
+				d.p.Submit(Job{
+					ID: "j", Host: "h1", Service: "svc", Tasks: 1, Attempts: 3, Came: d.now, Again: true,
+					Objective: time.Minute, Expires: time.Minute, Demand: model.Demand{CPU: 1000, MemoryMB: 1, Expected: 5 * time.Second},
+				}, d.now)
+			}
+			if tt.handed < 0 {
+				submit()
+			}
+			d.drain()
+			running := []Listed{{Task: "j.0.0.0", Run: 3, CPU: 1000}}
+			d.look("a", running, nil)
+			stops, leases := 0, false
+			for begin := d.now; d.now.Sub(begin) < 600*time.Millisecond; d.now = d.now.Add(10 * time.Millisecond) {
+				if tt.handed == d.now.Sub(begin) {
+					submit()
+				}
+				if tt.waits {
+					d.p.Waits("h1", d.now)
+				}
+				d.p.Tick(d.now)
+				out := d.drain()
+				stops += len(out.Stops)
+				for _, o := range out.Looks {
+					if o.Server.Name == "a" {
+						leases = leases || o.Deadline > 0
+						d.look("a", running, nil)
+					}
+				}
+				if len(out.Starts) > 0 {
+					t.Fatalf("start %+v beside the run that was found", out.Starts[0])
+				}
+			}
+			if (stops > 0) != (tt.stops > 0) {
+				t.Errorf("%d stops, want %d", stops, tt.stops)
+			}
+			if leases != tt.leases {
+				t.Errorf("the lease is prolonged: %v, want %v", leases, tt.leases)
+			}
+		})
+	}
+}
