--- a/runs/admit.go
+++ b/runs/admit.go
@@ -84,7 +84,7 @@
 			rates[j.Service] = rate
 		}
 		wait := time.Duration(float64(ahead[j.Service]) / max(rate, 1))
-		if !j.began && !p.left(j) && rate > 0 && now.Sub(j.Came)+wait > j.useful() {
+		if !j.began && rate > 0 && now.Sub(j.Came)+wait > j.useful() && !p.left(j) {
 			p.end(j, model.JobEndRefused, "the work ahead of it takes too long", now)
 			continue
 		}
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -253,9 +253,9 @@
 	p.refuseLate(now)
 	for _, j := range inOrder(p.jobs) {
 		switch {
-		case (j.began || p.left(j)) && now.Sub(j.Came) >= j.Expires:
+		case now.Sub(j.Came) >= j.Expires && (j.began || p.left(j)):
 			p.end(j, model.JobEndUnknown, "the time of its caller is over", now)
-		case !j.began && !p.left(j) && now.Sub(j.Came) >= j.useful():
+		case !j.began && now.Sub(j.Came) >= j.useful() && !p.left(j):
 			p.end(j, model.JobEndRefused, "no backend server had room in time", now)
 		}
 	}
