Stop services that are launched during a stop

A kernel that stops took the list of its services once. A link that a draining service opened after that was neither drained nor ended: what it held was lost when the process ended. A placer that stops sends its table to the next placer, which may be a host that was never spoken to.

Change: Stop looks again after each service until none is left. kernel.TestStopOrder, "launched during the stop", failed before: "stopped in order [second first], want [second first link]".

--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -94,17 +94,29 @@
 	tasks := k.registered()
 	for i, t := range tasks {
 		if err := t.launch(ctx); err != nil {
-			k.stop(ctx, tasks[:i])
+			for _, started := range slices.Backward(tasks[:i]) {
+				started.stop(ctx)
+			}
 			return err
 		}
 	}
 	return nil
 }
 
-// Stop ends the services in reverse order, each after it has drained. Once the
-// context ends, the rest stop without draining.
+// Stop ends the services in reverse order, each after it has drained, with those
+// that are launched meanwhile. Once the context ends, the rest stop without
+// draining.
 func (k *Kernel) Stop(ctx context.Context) {
-	k.stop(ctx, k.registered())
+	stopped := map[*Task]bool{}
+	for {
+		left := slices.DeleteFunc(k.registered(), func(t *Task) bool { return stopped[t] })
+		if len(left) == 0 {
+			return
+		}
+		last := left[len(left)-1]
+		stopped[last] = true
+		last.stop(ctx)
+	}
 }
 
 // registered returns the tasks in the order of their registration.
@@ -138,15 +150,12 @@
 	})
 }
 
-func (k *Kernel) stop(ctx context.Context, tasks []*Task) {
-	for i := len(tasks) - 1; i >= 0; i-- {
-		t := tasks[i]
-		close(t.stopping)
-		select {
-		case <-t.ended:
-		case <-ctx.Done():
-			t.cancel()
-			<-t.ended
-		}
+func (t *Task) stop(ctx context.Context) {
+	close(t.stopping)
+	select {
+	case <-t.ended:
+	case <-ctx.Done():
+		t.cancel()
+		<-t.ended
 	}
 }
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -155,24 +155,53 @@
 }
 
 func TestStopOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		var order []string
-		k := New()
-		for _, name := range []string{"first", "second"} {
-			s := echoService(name)
-			s.Stop = func(*Task) { order = append(order, name) }
-			if err := k.Register(s); err != nil {
-				t.Fatal(err)
-			}
-		}
-		if err := k.Start(context.Background()); err != nil {
-			t.Fatal(err)
-		}
-		k.Stop(context.Background())
-		if fmt.Sprint(order) != "[second first]" {
-			t.Fatalf("stopped in order %v", order)
-		}
-	})
+	tests := map[string]struct {
+		before string // service that is launched before the stop
+		during string // and while the first service drains
+		want   string
+	}{
+		"registered":               {want: "[second first]"},
+		"launched":                 {before: "link", want: "[second first link]"},
+		"launched during the stop": {during: "link", want: "[second first link]"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var order []string
+				k := New()
+				service := func(name string) Service {
+					s := echoService(name)
+					s.Stop = func(*Task) { order = append(order, name) }
+					return s
+				}
+				launch := func(name string) {
+					if name == "" {
+						return
+					}
+					if err := k.Launch(context.Background(), service(name)); err != nil {
+						t.Error(err)
+					}
+				}
+				for _, name := range []string{"first", "second"} {
+					s := service(name)
+					if name == "first" {
+						s.Drain = func(*Task) bool { launch(tt.during); return true }
+					}
+					if err := k.Register(s); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if err := k.Start(context.Background()); err != nil {
+					t.Fatal(err)
+				}
+				launch(tt.before)
+				k.Stop(context.Background())
+				if fmt.Sprint(order) != tt.want {
+					t.Fatalf("stopped in order %v, want %s", order, tt.want)
+				}
+			})
+		})
+	}
 }
 
 func ExampleKernel() {
