Stop the placer before the entry service

A stopping placer waits until another host places, and hears of that from the entry service of its host. That had ended before: without callers it has nothing to wait for. The placer then ended only when a backend server fenced it off, or when the grace was over, and could not send its table to the next one.

Evidence: hosted.TestStopOfPlacer failed before: the stop took 6 s, the whole grace, though the core had told of the next placement after 0.1 s and after 3 s.

Change: the placer is registered after the entry service, so it stops first and the entry service goes on to renew at the core meanwhile.

--- a/hosted/host.go
+++ b/hosted/host.go
@@ -94,7 +94,7 @@
 		}
 		services = append(services, node.Service(depth, h.open))
 	} else {
-		services = append(services, h.placer(), h.entry())
+		services = append(services, h.entry(), h.placer()) // a stopping placer hears of the next one from the entry service
 	}
 	for _, service := range services {
 		if err := h.Kernel.Register(service); err != nil {
