End a placer that was fenced off only once it knows the next one

Cause: a stopping placer was fenced off by a backend server before it learned of the next placement. Having nothing to place any more it ended at once, and its table of servers with it. The next placer, a host that had just started, then waited 1.1 s for leases.

Change: a placer that was fenced off drains until a later placement is known, upon which it sends its table as before, or until 1.2 s have passed: the next placer has then waited for the leases anyway, and a dark core may tell nobody. placer.TestDrain failed before in two cases: "it may end: true, want false".

--- a/placer/node.go
+++ b/placer/node.go
@@ -19,6 +19,10 @@
 	hostSilence = 900 * time.Millisecond // after which the jobs of a silent entry host are withdrawn: a resend may come 1.3 s after the break
 	stateTime   = time.Second            // between two looks at the state: operators' systems read it less often
 	earlyTime   = time.Second            // for which jobs are kept that came before the placement was known
+
+	// successorWait is how long a stop waits to learn who places next: longer than
+	// the leases of this placer, after which the next one doesn't need its table.
+	successorWait = 1200 * time.Millisecond
 )
 
 // Calls are the seams to backend servers. Each call ends soon after its context
@@ -57,6 +61,7 @@
 	tableEpoch uint64            // of the placer that told servers
 	placedFor  uint64            // latest epoch under which this process placed
 	hosts      map[string]*host
+	fencedAt   time.Time // zero unless the next placer isn't known yet
 	early      []early
 	flushing   bool // a flush is on its way
 	stateAt    time.Time
@@ -122,7 +127,7 @@
 		},
 		Handle: func(_ *kernel.Task, msg any) { n.handle(msg, n.task.Env.Now()) },
 		Tick:   func(*kernel.Task) { n.tick(n.task.Env.Now()) },
-		Drain:  n.drained,
+		Drain:  func(*kernel.Task) bool { return n.drained(n.task.Env.Now()) },
 	}
 }
 
@@ -209,6 +214,7 @@
 		return
 	}
 	n.latest = p
+	n.fencedAt = time.Time{}
 	n.bequeath(p)
 	n.stop("superseded")
 	if p.Host != n.Self || p.Incarnation != n.Incarnation {
@@ -322,7 +328,7 @@
 	}
 }
 
-// drained waits until another host places.
-func (n *Node) drained(*kernel.Task) bool {
-	return n.placer == nil
+// drained waits until another host places and is known: it needs the table.
+func (n *Node) drained(now time.Time) bool {
+	return n.placer == nil && now.Sub(n.fencedAt) > successorWait
 }
--- a/placer/orders.go
+++ b/placer/orders.go
@@ -61,6 +61,7 @@
 	}
 	if out.Fenced {
 		n.stop("fenced off")
+		n.fencedAt = now
 	}
 }
 
--- a/placer/table_test.go
+++ b/placer/table_test.go
@@ -147,3 +147,50 @@
 		})
 	}
 }
+
+// TestDrain stops a host as planned. It ends once it has learned who places next:
+// only then can it send its table.
+func TestDrain(t *testing.T) {
+	fence := func(h *handover) {
+		for _, l := range h.former.placer.Drain(h.now).Looks {
+			h.former.placer.Looked(runs.Seen{Server: l.Server.Name, Born: 1, Seq: l.Seq, Outcome: runs.OutcomeFenced, Sent: h.now}, h.now)
+		}
+		h.former.carryOut(h.now)
+	}
+	tests := map[string]struct {
+		play    func(h *handover)
+		drained bool
+		sent    int // tables
+	}{
+		"it places": {play: func(*handover) {}},
+		"it was fenced off and doesn't know the next placer": {play: fence},
+		"it waits for the next placer":                       {play: func(h *handover) { fence(h); h.now = h.now.Add(successorWait) }},
+		"it was fenced off and then superseded":              {play: func(h *handover) { fence(h); h.supersede(h.former, 4) }, drained: true, sent: 1},
+		"it was superseded":                                  {play: func(h *handover) { h.supersede(h.former, 4) }, drained: true, sent: 1},
+		"it never learns of the next placer": {
+			play: func(h *handover) { fence(h); h.now = h.now.Add(successorWait + time.Millisecond) }, drained: true,
+		},
+		"it learns late of the next placer": {
+			play: func(h *handover) {
+				fence(h)
+				h.now = h.now.Add(successorWait + time.Millisecond)
+				h.supersede(h.former, 4)
+			}, drained: true, sent: 1,
+		},
+		"another host places, and it never did": {
+			play: func(h *handover) { h.former.placer, h.former.placedFor = nil, 0; h.supersede(h.former, 4) }, drained: true,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHandover()
+			tt.play(h)
+			if got := h.former.drained(h.now); got != tt.drained {
+				t.Errorf("it may end: %v, want %v", got, tt.drained)
+			}
+			if got := len(h.sent); got != tt.sent {
+				t.Errorf("%d tables were sent, want %d", got, tt.sent)
+			}
+		})
+	}
+}
