Tell who handed a job over that its message was lost

What callers saw: after a short cut between data centres three keyed jobs had no answer within four minutes, from any host (seen once, in proof.TestCutBetweenDataCentres).

Cause: a host whose data centre has no idle slot hands a job with a claim to a host of another one, without its key. Such a message is sent once: when the call fails, the link drops it. The runner heard of that only as the loss of the host, and that is told by the other, ephemeral link. Two hosts of different data centres that don't lead exchange no more there than a hello each few seconds; a shorter cut goes unnoticed. The runner then waited ten minutes for the answer, and every submission of the key joined that wait.

Ruled out: a lost answer, which a reliable link repeats; a link that stays broken (both sides logged the others as reachable again).

Change: a reliable link tells of what it drops. The runner then gives up on the question at once and fails the job with an unknown outcome, as when the host is lost: whether it has run there can't be known.

--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -58,6 +58,11 @@
 		Log:       h.Log,
 		Metrics:   h.Metrics,
 		OnState:   func(bool) {},
+		OnLost: func(body any) {
+			if m, ok := body.(msgs.Relay); ok {
+				h.post(msgs.ServiceJobs, jobs.Lost{Host: peer.Name, Request: m.Request})
+			}
+		},
 	}
 	if ephemeral {
 		l.Timeout = peers.EphemeralTimeout
--- a/hosted/host.go
+++ b/hosted/host.go
@@ -129,6 +129,7 @@
 		Log:     h.Log,
 		Metrics: h.Metrics,
 		OnState: func(bool) {},
+		OnLost:  func(any) {}, // who has sent it sends it again
 	}
 	if ephemeral {
 		l.Timeout = peers.EphemeralTimeout
--- a/jobs/away_test.go
+++ b/jobs/away_test.go
@@ -40,6 +40,16 @@
 	w.r.Handle(msgs.Relayed{Request: relays[len(relays)-1].Request, Answer: b.answer, Refusal: b.refusal})
 }
 
+// relayLost is the loss of the last job on its way to the other data centre.
+type relayLost struct{}
+
+var lostRelay = relayLost{}
+
+func (w *world) loseRelay() {
+	relays := sentOf[msgs.Relay](w)
+	w.r.Handle(Lost{Host: "x1", Request: relays[len(relays)-1].Request})
+}
+
 // TestAway runs a job with a key whose home has no idle slot, or no backend
 // server of its service, in another data centre.
 func TestAway(t *testing.T) {
@@ -72,6 +82,11 @@
 			before: busy, after: []any{claimed, unreachable, done}, relays: 1,
 			finish: &model.Answer{State: model.JobFailed, Refusal: &model.RefusalError{Code: model.CodeOutcomeUnknown}},
 		},
+		"lost on the way": {
+			before: busy, after: []any{claimed, lostRelay, done}, relays: 1,
+			finish: &model.Answer{State: model.JobFailed, Refusal: &model.RefusalError{Code: model.CodeOutcomeUnknown}},
+		},
+		"answered and then lost":    {before: busy, after: []any{claimed, done, lostRelay}, relays: 1, finish: &model.Answer{State: model.JobComplete}},
 		"not taken, so placed here": {before: busy, after: []any{claimed, notTaken, grant}, relays: 1, calls: 1},
 		"not before the claim":      {before: busy, after: nil},
 		"once":                      {before: busy, after: []any{claimed, claimed, leaseOf(1, 2)}, relays: 1},
@@ -94,11 +109,14 @@
 			w := newWorld(t)
 			key := w.twoDataCentres()
 			for _, step := range append(append(tt.before, submission(key, 1)), tt.after...) {
-				if b, ok := step.(backOf); ok {
-					w.back(b)
-					continue
+				switch s := step.(type) {
+				case backOf:
+					w.back(s)
+				case relayLost:
+					w.loseRelay()
+				default:
+					w.do(step)
 				}
-				w.do(step)
 			}
 			relays, recalls := sentOf[msgs.Relay](w), sentOf[msgs.Recall](w)
 			if len(relays) != tt.relays || len(recalls) != tt.recalls || len(w.calls) != tt.calls {
--- a/jobs/exchange.go
+++ b/jobs/exchange.go
@@ -33,6 +33,8 @@
 // exchange takes the questions of the front and of other hosts, and answers.
 func (r *Runner) exchange(msg any) {
 	switch m := msg.(type) {
+	case Lost:
+		r.lost(m)
 	case Fetch:
 		r.fetch(m)
 	case Cancel:
@@ -101,11 +103,24 @@
 	r.downs[m.Host] = true
 	for id, q := range r.requests {
 		if q.host == m.Host {
-			r.unanswered(id, q, "the entry host "+m.Host+" can't be reached")
+			r.unanswered(id, q, cantReach(m.Host))
 		}
 	}
 }
 
+// lost gives up on a job that was lost on its way to another host. That the host
+// can't be reached is told only when signs of life are lost, too, which few hosts
+// of different data centres exchange.
+func (r *Runner) lost(m Lost) {
+	if q, ok := r.requests[m.Request]; ok {
+		r.unanswered(m.Request, q, cantReach(m.Host))
+	}
+}
+
+func cantReach(host string) string {
+	return "the entry host " + host + " can't be reached"
+}
+
 // hostIn chooses a host of a data centre, in turn, that can be reached.
 func (r *Runner) hostIn(dataCentre string) (string, *model.RefusalError) {
 	var candidates []string
--- a/jobs/messages.go
+++ b/jobs/messages.go
@@ -64,6 +64,13 @@
 	Reachable bool
 }
 
+// Lost tells that a job was given up on its way to another host: whether that has
+// taken it isn't known.
+type Lost struct {
+	Host    string
+	Request uint64
+}
+
 // Call asks to call a backend server under a grant.
 type Call struct {
 	Grant    msgs.Grant
--- a/peers/link.go
+++ b/peers/link.go
@@ -54,6 +54,7 @@
 	Log       events.Logger
 	Metrics   *metric.Set
 	OnState   func(reachable bool) // hears when the remote host is lost and found
+	OnLost    func(body any)       // hears of each message of a reliable link that isn't sent again
 
 	deliver   Deliver
 	queue     kernel.Queue[*wire.Envelope]
@@ -228,6 +229,7 @@
 		body, err := codec.FromWire(e)
 		if err == nil && msgs.Once(body) {
 			l.batch[i] = &wire.Envelope{}
+			l.OnLost(body)
 		}
 	}
 }
@@ -236,17 +238,30 @@
 // both sides have settled what these messages were about.
 func (l *Link) discard() {
 	n := len(l.batch) + l.queue.Len()
+	for _, e := range l.batch {
+		l.lose(e)
+	}
 	l.advance(len(l.batch))
 	for {
-		if _, ok := l.queue.Pop(); !ok {
+		e, ok := l.queue.Pop()
+		if !ok {
 			break
 		}
+		l.lose(e)
 		l.firstSeq++
 	}
 	l.Metrics.PeerMessages.WithLabelValues("Discarded").Add(float64(n))
 	l.Log.At(events.PeerDiscarded).Str("Peer", l.Peer.Name).Int("Messages", n).Send()
 }
 
+// lose reports a message that was discarded. One that was blanked was reported
+// before.
+func (l *Link) lose(e *wire.Envelope) {
+	if body, err := codec.FromWire(e); err == nil {
+		l.OnLost(body)
+	}
+}
+
 func (l *Link) advance(n int) {
 	l.firstSeq += uint64(n)
 	l.batch = append([]*wire.Envelope(nil), l.batch[n:]...)
--- a/peers/link_test.go
+++ b/peers/link_test.go
@@ -88,11 +88,19 @@
 
 func startLinkTo(t *testing.T, dial func(model.Host) Deliver, ephemeral bool) *kernel.Kernel {
 	t.Helper()
-	l := &Link{
+	return run(t, newLink(dial, ephemeral))
+}
+
+func newLink(dial func(model.Host) Deliver, ephemeral bool) *Link {
+	return &Link{
 		Self: model.Host{Name: "h1", Incarnation: 7}, Peer: model.Host{Name: "h2", Address: "old"}, Ephemeral: ephemeral, Depth: messages,
 		Timeout: time.Second, GiveUp: 4 * time.Second, Dial: dial,
-		Log: events.Nop(), Metrics: metric.New(), OnState: func(bool) {},
+		Log: events.Nop(), Metrics: metric.New(), OnState: func(bool) {}, OnLost: func(any) {},
 	}
+}
+
+func run(t *testing.T, l *Link) *kernel.Kernel {
+	t.Helper()
 	k := kernel.New()
 	if err := k.Register(l.Service()); err != nil {
 		t.Fatal(err)
@@ -256,6 +264,60 @@
 	}
 }
 
+// TestLost breaks the connection of a link. Who has sent a message that isn't sent
+// again hears of it.
+func TestLost(t *testing.T) {
+	once := func(request uint64) msgs.Relay { return msgs.Relay{Request: request} }
+	again := msgs.Relay{Request: 9, Submission: model.Submission{Key: "k"}}
+	tests := map[string]struct {
+		bodies []any
+		broken time.Duration
+		want   []uint64 // requests that are heard of as lost
+	}{
+		"nothing breaks":              {bodies: []any{once(1), again}},
+		"a short break":               {bodies: []any{once(1)}, broken: 10 * time.Millisecond, want: []uint64{1}},
+		"each once":                   {bodies: []any{once(1), once(2)}, broken: time.Second, want: []uint64{1, 2}},
+		"what is sent again":          {bodies: []any{again, msgs.Fetch{Request: 8}}, broken: time.Second},
+		"what is given up in the end": {bodies: []any{again, msgs.Fetch{Request: 8}}, broken: time.Minute, want: []uint64{9}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := startReceiver(t, 1, 0)
+				heals := time.Now().Add(tt.broken)
+				l := newLink(func(model.Host) Deliver {
+					return func(ctx context.Context, b *wire.Batch) (*wire.Receipt, error) {
+						if time.Now().Before(heals) {
+							return nil, errLost
+						}
+						return r.inbox.Deliver(ctx, b)
+					}
+				}, false)
+				var lost []uint64
+				l.OnLost = func(body any) {
+					if m, ok := body.(msgs.Relay); ok {
+						lost = append(lost, m.Request)
+					}
+				}
+				k := run(t, l)
+				mailer := NewMailer("h1", k.Find)
+				for _, body := range tt.bodies {
+					if err := mailer.Send("h2", msgs.ServiceJobs, body); err != nil {
+						t.Fatal(err)
+					}
+				}
+				time.Sleep(2 * time.Minute)
+				stop(k)
+				stop(r.kernel)
+				slices.Sort(lost)
+				if !slices.Equal(lost, tt.want) {
+					t.Errorf("the requests %v were lost, want %v", lost, tt.want)
+				}
+			})
+		})
+	}
+}
+
 // TestGiveUp leaves the receiver unreachable. What waits is discarded after
 // GiveUp, and what is sent later is taken in order.
 func TestGiveUp(t *testing.T) {
--- a/proof/faults_test.go
+++ b/proof/faults_test.go
@@ -1,8 +1,10 @@
 package proof
 
 import (
+	"fmt"
 	"regexp"
 	"testing"
+	"time"
 
 	"dogwoodrock.example/dogwoodrock/claim"
 )
@@ -39,6 +41,27 @@
 	playFault(t, true, cutDataCentre)
 }
 
+// TestShortCuts cuts a data centre off so briefly that most hosts which hand jobs
+// over don't miss the others' signs of life.
+func TestShortCuts(t *testing.T) {
+	const (
+		cuts    = 6
+		cutTime = 300 * time.Millisecond
+		calm    = 500 * time.Millisecond // between two cuts
+	)
+	s := start(t, systemOptions{relays: true})
+	var keyed []*run
+	for i := range cuts {
+		s.Relays.Cut(s.t, func(from, to string) bool { return away("jinju", from) != away("jinju", to) })
+		keyed = append(keyed, s.load(fmt.Sprintf("round%d-", i), 60, true)...)
+		<-time.After(cutTime)
+		s.Relays.Heal(s.t)
+		<-time.After(calm)
+	}
+	s.finish(keyed)
+	s.checkSameAgain(keyed)
+}
+
 func playFault(t *testing.T, relays bool, fault func(s *System) (heal func())) {
 	s := start(t, systemOptions{relays: relays})
 	keyed := s.load("keyed", 27, true)
