Let a save that found no room be tried again

Cause: Save treated each failed operation as one after which it isn't known what the disk holds. For a failed write, create or rename on a full disk it is known: the log's whole records plus a torn tail, or a file without its name.

Change: such an error has Full set. The torn tail is cut off and the cut synced before anything else is written; if the disk refuses even that, the cut is owed and comes before the next record. The state in memory follows only what was synced. Another Persist than the one that found no room is an error: it would leave that out. A failed sync, whatever its errno, and any other error end the use of the folder as before.

--- a/core/chaos_test.go
+++ b/core/chaos_test.go
@@ -12,10 +12,12 @@
 // what they had not written.
 func quickFiles() disk.Files {
 	return disk.Files{
-		Write:  (*os.File).Write,
-		Sync:   func(*os.File) error { return nil },
-		Rename: os.Rename,
-		Remove: os.Remove,
+		Create:   os.Create,
+		Write:    (*os.File).Write,
+		Sync:     func(*os.File) error { return nil },
+		Truncate: (*os.File).Truncate,
+		Rename:   os.Rename,
+		Remove:   os.Remove,
 	}
 }
 
--- a/disk/files.go
+++ b/disk/files.go
@@ -1,28 +1,42 @@
 package disk
 
-import "os"
+import (
+	"errors"
+	"os"
+	"syscall"
+)
 
 // Files holds the file operations that tests let fail.
 type Files struct {
-	Write  func(f *os.File, b []byte) (int, error)
-	Sync   func(f *os.File) error
-	Rename func(from, to string) error
-	Remove func(path string) error
+	Create   func(path string) (*os.File, error)
+	Write    func(f *os.File, b []byte) (int, error)
+	Sync     func(f *os.File) error
+	Truncate func(f *os.File, size int64) error
+	Rename   func(from, to string) error
+	Remove   func(path string) error
 }
 
 func systemFiles() Files {
 	return Files{
-		Write:  (*os.File).Write,
-		Sync:   (*os.File).Sync,
-		Rename: os.Rename,
-		Remove: os.Remove,
+		Create:   os.Create,
+		Write:    (*os.File).Write,
+		Sync:     (*os.File).Sync,
+		Truncate: (*os.File).Truncate,
+		Rename:   os.Rename,
+		Remove:   os.Remove,
 	}
 }
 
-// write appends to a file and syncs it.
+// noRoom tells whether the disk, or the owner's share of it, is full.
+func noRoom(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
+// write appends to a file and syncs it. When it is full, a part may have been
+// written. A sync that failed is never that: what it leaves is unknown.
 func (fs Files) write(f *os.File, b []byte) error {
 	if _, err := fs.Write(f, b); err != nil {
-		return &FileError{Op: "write", File: f.Name(), Cause: err}
+		return &FileError{Op: "write", File: f.Name(), Cause: err, Full: noRoom(err)}
 	}
 	if err := fs.Sync(f); err != nil {
 		return &FileError{Op: "sync", File: f.Name(), Cause: err}
@@ -32,19 +46,20 @@
 
 // create writes a whole file so that it either appears complete or not at all.
 func (fs Files) create(folder, path string, b []byte) error {
-	f, err := os.Create(path + tempSuffix)
+	f, err := fs.Create(path + tempSuffix)
 	if err != nil {
-		return &FileError{Op: "create", File: path, Cause: err}
+		return &FileError{Op: "create", File: path, Cause: err, Full: noRoom(err)}
 	}
 	err = fs.write(f, b)
 	if closing := f.Close(); err == nil && closing != nil {
 		err = &FileError{Op: "close", File: f.Name(), Cause: closing}
 	}
 	if err != nil {
+		_ = fs.Remove(f.Name()) // gives its room back; the next try overwrites it anyway
 		return err
 	}
 	if err := fs.Rename(f.Name(), path); err != nil {
-		return &FileError{Op: "rename", File: path, Cause: err}
+		return &FileError{Op: "rename", File: path, Cause: err, Full: noRoom(err)}
 	}
 	return fs.syncFolder(folder)
 }
--- /dev/null
+++ b/disk/full_test.go
@@ -0,0 +1,269 @@
+package disk
+
+import (
+	"errors"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"dogwoodrock.example/dogwoodrock/quorum"
+)
+
+// fault is a file operation that fails as long as it is set. A write that fails
+// leaves part of its bytes.
+type fault struct {
+	op    string // empty for none
+	file  string // beginning of the name
+	part  int    // bytes that a write leaves
+	cause error
+}
+
+func (f *fault) hits(op, file string) error {
+	if f.op != op || !strings.HasPrefix(filepath.Base(file), f.file) {
+		return nil
+	}
+	return &os.PathError{Op: op, Path: file, Err: f.cause}
+}
+
+func (f *fault) files() Files {
+	fs := systemFiles()
+	sys := fs
+	fs.Create = func(path string) (*os.File, error) {
+		if err := f.hits("create", path); err != nil {
+			return nil, err
+		}
+		return sys.Create(path)
+	}
+	fs.Write = func(file *os.File, b []byte) (int, error) {
+		if err := f.hits("write", file.Name()); err != nil {
+			n, _ := sys.Write(file, b[:min(f.part, len(b))])
+			return n, err
+		}
+		return sys.Write(file, b)
+	}
+	fs.Sync = func(file *os.File) error { return errors.Join(sys.Sync(file), f.hits("sync", file.Name())) }
+	fs.Truncate = func(file *os.File, size int64) error {
+		if err := f.hits("truncate", file.Name()); err != nil {
+			return err
+		}
+		return sys.Truncate(file, size)
+	}
+	fs.Rename = func(from, to string) error {
+		if err := f.hits("rename", to); err != nil {
+			return err
+		}
+		return sys.Rename(from, to)
+	}
+	return fs
+}
+
+// readBack opens a copy of a folder, as a start after a loss of power does.
+func readBack(t *testing.T, folder string) string {
+	t.Helper()
+	other := t.TempDir()
+	if err := os.CopyFS(other, os.DirFS(folder)); err != nil {
+		t.Fatal(err)
+	}
+	return text(open(t, other).Saved())
+}
+
+type fullTest struct {
+	fault fault
+	save  func(p *quorum.Persist)
+	first bool // the Save is the folder's first
+	ends  bool // the folder can't be used any more
+}
+
+func TestFull(t *testing.T) {
+	tests := map[string]fullTest{
+		"nothing of a record is written":       {fault: fault{op: "write", file: logPrefix, cause: syscall.ENOSPC}},
+		"a part of a record is written":        {fault: fault{op: "write", file: logPrefix, part: 40, cause: syscall.ENOSPC}},
+		"a record is written, but not told so": {fault: fault{op: "write", file: logPrefix, part: 1 << 20, cause: syscall.ENOSPC}},
+		"a quota":                              {fault: fault{op: "write", file: logPrefix, part: 40, cause: syscall.EDQUOT}},
+		"a part of a snapshot is written":      {fault: fault{op: "write", file: snapshotPrefix, part: 2, cause: syscall.ENOSPC}, save: snapshotOf},
+		"a part of a new log is written":       {fault: fault{op: "write", file: logPrefix, part: 40, cause: syscall.ENOSPC}, save: snapshotOf},
+		"no file can be made for a snapshot":   {fault: fault{op: "create", file: snapshotPrefix, cause: syscall.ENOSPC}, save: snapshotOf},
+		"no name for a new log":                {fault: fault{op: "rename", file: logPrefix, cause: syscall.ENOSPC}, save: snapshotOf},
+		"no room for the first log":            {fault: fault{op: "write", file: logPrefix, part: 40, cause: syscall.ENOSPC}, first: true},
+		"no room for the mark":                 {fault: fault{op: "write", file: markName, part: 3, cause: syscall.ENOSPC}, first: true},
+		"a sync that tells of no room":         {fault: fault{op: "sync", file: logPrefix, cause: syscall.ENOSPC}, ends: true},
+		"a sync of the folder":                 {fault: fault{op: "sync", file: "001", cause: syscall.ENOSPC}, save: snapshotOf, ends: true},
+		"a broken disk, on a write":            {fault: fault{op: "write", file: logPrefix, part: 40, cause: syscall.EIO}, ends: true},
+		"a broken disk, on a sync":             {fault: fault{op: "sync", file: logPrefix, cause: syscall.EIO}, ends: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var now fault
+			s := open(t, t.TempDir(), WithFiles(now.files()))
+			p, next := persist(3, 0, 1, 2), persist(4, 2, 3)
+			if !tt.first {
+				save(t, s, persist(1, 0, 1, 2))
+				save(t, s, persist(2, 2, 3))
+				p, next = persist(3, 1, 2, 3), persist(4, 3, 4)
+			}
+			if tt.save != nil {
+				tt.save(&p)
+			}
+			now = tt.fault
+			failSaves(t, s, p, tt.ends)
+			now = fault{}
+			if err := s.Save(p); (err != nil) != tt.ends {
+				t.Fatalf("saved again: error %v", err)
+			}
+			if tt.ends {
+				return
+			}
+			want := text(s.merge(next))
+			save(t, s, next)
+			if got := readBack(t, s.folder); got != want || text(s.Saved()) != want {
+				t.Fatalf("read back %s, held %s, want %s", got, text(s.Saved()), want)
+			}
+			if names, err := s.list(); err != nil || len(names) != 3 {
+				t.Errorf("the folder holds %v, error %v", names, err)
+			}
+		})
+	}
+}
+
+func save(t *testing.T, s *Store, p quorum.Persist) {
+	t.Helper()
+	if err := s.Save(p); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// failSaves saves on a disk with a fault.
+func failSaves(t *testing.T, s *Store, p quorum.Persist, ends bool) {
+	t.Helper()
+	before, after := text(s.Saved()), text(s.merge(p))
+	for range 3 {
+		var file *FileError
+		if err := s.Save(p); !errors.As(err, &file) || IsFull(err) == ends {
+			t.Fatalf("error %v, full %v", err, IsFull(err))
+		}
+		if got := readBack(t, s.folder); got != before && got != after {
+			t.Fatalf("read back %s, want %s or %s", got, before, after)
+		}
+	}
+}
+
+// TestOwed checks that a Persist that found no room isn't left out.
+func TestOwed(t *testing.T) {
+	var now fault
+	s := open(t, t.TempDir(), WithFiles(now.files()))
+	save(t, s, persist(1, 0, 1))
+	now = fault{op: "write", cause: syscall.ENOSPC}
+	if err := s.Save(persist(2, 1)); !IsFull(err) {
+		t.Fatalf("error %v", err)
+	}
+	now = fault{}
+	if err := s.Save(persist(2, 1, 2)); err == nil || IsFull(err) {
+		t.Fatalf("another Persist is saved first, error %v", err)
+	}
+}
+
+func snapshotOf(p *quorum.Persist) {
+	p.Snapshot = &quorum.Snapshot{Op: p.Keep, Members: []quorum.Member{{Name: "a"}}, Data: []byte("lists")}
+}
+
+// TestTornWhileFull lets the cut of a torn record fail, too.
+func TestTornWhileFull(t *testing.T) {
+	tests := map[string]struct {
+		cause error // of the cut
+		ends  bool
+	}{
+		"no room":       {cause: syscall.ENOSPC},
+		"a broken disk": {cause: syscall.EIO, ends: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var write, cut fault
+			fs := write.files()
+			fs.Truncate = cut.files().Truncate
+			s := open(t, t.TempDir(), WithFiles(fs))
+			save(t, s, persist(1, 0, 1, 2))
+			p := persist(2, 2, 3)
+			before, after := text(s.Saved()), text(s.merge(p))
+			write = fault{op: "write", part: 40, cause: syscall.ENOSPC}
+			cut = fault{op: "truncate", cause: tt.cause}
+			for range 2 {
+				if err := s.Save(p); err == nil || IsFull(err) == tt.ends {
+					t.Fatalf("error %v", err)
+				}
+				if got := readBack(t, s.folder); got != before {
+					t.Fatalf("read back %s, want %s", got, before)
+				}
+			}
+			write = fault{}
+			if err := s.Save(p); err == nil {
+				t.Fatal("a record was written after a torn one")
+			}
+			cut = fault{}
+			if err := s.Save(p); (err != nil) != tt.ends {
+				t.Fatalf("saved again: error %v", err)
+			}
+			if got := readBack(t, s.folder); !tt.ends && got != after {
+				t.Fatalf("read back %s, want %s", got, after)
+			}
+		})
+	}
+}
+
+// TestFullNowAndThen plays random histories on a disk that is full at times. At
+// each end of a Save the power may be cut: what is read back is the state before
+// or after a Save that failed, and that after one that succeeded.
+func TestFullNowAndThen(t *testing.T) {
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		full := 0.0
+		fs := systemFiles()
+		sys := fs
+		refuses := func() error {
+			if rng.Float64() < full {
+				return []error{syscall.ENOSPC, syscall.EDQUOT}[rng.IntN(2)]
+			}
+			return nil
+		}
+		fs.Write = func(f *os.File, b []byte) (int, error) {
+			if err := refuses(); err != nil {
+				n, _ := sys.Write(f, b[:rng.IntN(len(b)+1)])
+				return n, err
+			}
+			return sys.Write(f, b)
+		}
+		fs.Create = func(path string) (*os.File, error) {
+			if err := refuses(); err != nil {
+				return nil, err
+			}
+			return sys.Create(path)
+		}
+		fs.Truncate = func(f *os.File, size int64) error { return errors.Join(sys.Truncate(f, size), refuses()) }
+		fs.Rename = func(from, to string) error {
+			if err := refuses(); err != nil {
+				return err
+			}
+			return sys.Rename(from, to)
+		}
+		s := open(t, t.TempDir(), WithFiles(fs))
+		for view := uint64(1); view < 20; view++ {
+			full = []float64{0, 0.3, 0.9}[rng.IntN(3)]
+			p := randomPersist(rng, s.Saved(), view)
+			before, after := text(s.Saved()), text(s.merge(p))
+			for s.Save(p) != nil {
+				if got := readBack(t, s.folder); got != before && got != after {
+					t.Fatalf("seed %d, save %d failed: read back %s, want %s or %s", seed, view, got, before, after)
+				}
+				full *= 0.8
+				if s.failed != nil {
+					t.Fatalf("seed %d, save %d: %v", seed, view, s.failed)
+				}
+			}
+			if got := readBack(t, s.folder); got != after || text(s.Saved()) != after {
+				t.Fatalf("seed %d, save %d: read back %s, held %s, want %s", seed, view, got, text(s.Saved()), after)
+			}
+		}
+	}
+}
--- a/disk/load.go
+++ b/disk/load.go
@@ -80,10 +80,11 @@
 	if offset == 0 {
 		return &CorruptError{File: path, Reason: "the file is empty"}
 	}
+	s.size = int64(offset)
 	if err := s.openLog(path); err != nil || offset == len(b) {
 		return err
 	}
-	return s.cutTail(int64(offset))
+	return s.cutTail()
 }
 
 // corrupt turns the error of one record into a CorruptError with its place.
@@ -139,13 +140,14 @@
 }
 
 // cutTail removes an incomplete record from the end of the log.
-func (s *Store) cutTail(size int64) error {
-	if err := s.log.Truncate(size); err != nil {
-		return &FileError{Op: "truncate", File: s.log.Name(), Cause: err}
+func (s *Store) cutTail() error {
+	if err := s.files.Truncate(s.log, s.size); err != nil {
+		return &FileError{Op: "truncate", File: s.log.Name(), Cause: err, Full: noRoom(err)}
 	}
 	if err := s.files.Sync(s.log); err != nil {
 		return &FileError{Op: "sync", File: s.log.Name(), Cause: err}
 	}
+	s.torn = false
 	return nil
 }
 
--- a/disk/store.go
+++ b/disk/store.go
@@ -1,9 +1,11 @@
 package disk
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+	"reflect"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -21,6 +23,8 @@
 // markText is what the mark file holds.
 const markText = "{\"Format\":1}\n"
 
+var errOwed = errors.New("what found no room before wasn't saved first")
+
 // Memory tells what a data folder holds.
 type Memory int
 
@@ -40,7 +44,10 @@
 	marked bool
 	seq    uint64 // of the log and its snapshot
 	log    *os.File
+	size   int64 // bytes of the whole records in the log
+	torn   bool  // the log may hold more than these
 	saved  quorum.Saved
+	owed   *quorum.Persist // found no room, nil for none
 	failed error
 }
 
@@ -81,13 +88,26 @@
 }
 
 // Save makes what a replica wants persisted durable. When it returns nil, the
-// messages of the same output may be sent. After an error all further calls
-// fail too, because it is not known what the disk holds.
+// messages of the same output may be sent. When the disk is full (IsFull), the
+// same Persist has to be saved again before any other. After any other error all
+// further calls fail too, because it is not known what the disk holds.
 func (s *Store) Save(p quorum.Persist) error {
-	if s.failed == nil {
-		s.failed = s.save(p)
-	}
-	return s.failed
+	if s.failed != nil {
+		return s.failed
+	}
+	if s.owed != nil && !reflect.DeepEqual(*s.owed, p) {
+		s.failed = &FileError{Op: "save", File: s.folder, Cause: errOwed}
+		return s.failed
+	}
+	s.owed = nil
+	err := s.save(p)
+	switch {
+	case IsFull(err):
+		s.owed = &p
+	case err != nil:
+		s.failed = err
+	}
+	return err
 }
 
 // Close releases the log.
@@ -114,14 +134,42 @@
 		return s.startLog(p)
 	}
 	r := record{Vote: p.Vote, Keep: p.Keep, Entries: p.Entries}
-	if !r.apply(&s.saved) {
+	next := s.saved
+	if !r.apply(&next) {
 		return &CorruptError{File: s.log.Name(), Reason: "the new entries leave a gap"}
 	}
 	b, err := r.encode()
 	if err != nil {
 		return &FileError{Op: "encode", File: s.log.Name(), Cause: err}
 	}
-	return s.files.write(s.log, b)
+	if err := s.append(b); err != nil {
+		return err
+	}
+	s.saved = next
+	return nil
+}
+
+// append adds a record to the log. What a full disk took of it is cut off before
+// anything else is written: a torn record may only be the last one.
+func (s *Store) append(b []byte) error {
+	if s.torn {
+		if err := s.cutTail(); err != nil {
+			return err
+		}
+	}
+	err := s.files.write(s.log, b)
+	if err == nil {
+		s.size += int64(len(b))
+		return nil
+	}
+	if !IsFull(err) {
+		return err
+	}
+	s.torn = true
+	if cut := s.cutTail(); cut != nil && !IsFull(cut) {
+		return cut
+	}
+	return err
 }
 
 // mark notes, after the first save, that the folder holds a state.
@@ -166,6 +214,7 @@
 		return err
 	}
 	s.seq, s.saved = seq, next
+	s.size, s.torn = int64(len(b)), false
 	if err := s.openLog(s.logPath(seq)); err != nil {
 		return err
 	}
