Keep a core host up whose disk is full

Cause: any error of Persist reached Kernel.Fail, though after a write that found no room it is known what the disk holds.

Change: the log of a replica keeps the output that found no room and tries it again twice a second. Until it is synced the replica stands still, as that of a frozen host does: no message and no time is passed to it, nothing is sent or applied. Afterwards the commits are applied and the messages dropped, as old ones. Members and placers are learned from the leader's answers, so that reports of backend servers are passed to the placer of now. After any other error, a failed sync among them, the log carries out nothing more and the host ends as before. Events 606 DiskFull and 607 DiskHasRoom, gauge dogwoodrock_CoreDiskFull.

Ruled out: dropping the output and going on, as the replica counts it as saved; stepping a backup without syncing, as it would acknowledge what it may forget.

Tests first: with the log told that no error may be tried again (as before), TestFullDisk fails in all cases (the host fails, its routes stay behind, it tells nothing), and so do the faults "one has no room", "all have no room", "all have room now and then" and "one has no room, another is killed" of TestNothingAcknowledgedIsLost.

--- a/core/ask.go
+++ b/core/ask.go
@@ -19,9 +19,11 @@
 }
 
 // Answer is what became of a Put or a Read. When Done is false, Leader names the
-// host to ask instead, if one is known; nothing was decided here.
+// host to ask instead, if one is known; nothing was decided here, unless Full
+// tells that the host has no room for what it had begun.
 type Answer struct {
 	Done   bool
+	Full   bool // the disk of this host is full
 	Leader string
 	Routes model.RoutesText // newest, when Done
 }
@@ -37,6 +39,10 @@
 }
 
 func (n *Node) decide(c fleet.Command, reply func(Answer), now time.Time) {
+	if n.room.full {
+		reply(Answer{Full: true})
+		return
+	}
 	if n.replica == nil || n.failed || !n.replica.Status(now).Leading {
 		leader := n.leader
 		if leader == n.Self {
@@ -45,5 +51,14 @@
 		reply(Answer{Leader: leader})
 		return
 	}
-	n.log.Enqueue(c, func(r fleet.Result) { reply(Answer{Done: true, Routes: r.Routes}) })
+	n.nextOpen++
+	id := n.nextOpen
+	if n.open == nil {
+		n.open = map[uint64]func(Answer){}
+	}
+	n.open[id] = reply
+	n.log.Enqueue(c, func(r fleet.Result) {
+		delete(n.open, id)
+		reply(Answer{Done: true, Routes: r.Routes})
+	})
 }
--- a/core/chaos_test.go
+++ b/core/chaos_test.go
@@ -2,19 +2,32 @@
 
 import (
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
 	"dogwoodrock.example/dogwoodrock/disk"
 )
 
-// quickFiles are the system's files without syncs: simulated hosts lose only
-// what they had not written.
-func quickFiles() disk.Files {
+// files are the system's files without syncs: simulated hosts lose only what
+// they had not written. A write that finds no room leaves a part of its bytes.
+func (h *simHost) files() disk.Files {
 	return disk.Files{
-		Create:   os.Create,
-		Write:    (*os.File).Write,
-		Sync:     func(*os.File) error { return nil },
+		Create: os.Create,
+		Write: func(f *os.File, b []byte) (int, error) {
+			if h.full == 0 || h.w.rng.Float64() >= h.full {
+				return f.Write(b)
+			}
+			h.tries++
+			n, _ := f.Write(b[:h.w.rng.IntN(len(b)+1)])
+			return n, syscall.ENOSPC
+		},
+		Sync: func(*os.File) error {
+			if h.broken {
+				return syscall.EIO
+			}
+			return nil
+		},
 		Truncate: (*os.File).Truncate,
 		Rename:   os.Rename,
 		Remove:   os.Remove,
@@ -81,6 +94,51 @@
 		h.frozen = w.now.Add(time.Duration(w.rng.IntN(4000)) * time.Millisecond)
 		return func() {}
 	},
+	"one has no room": func(w *world) func() {
+		h := w.hosts[w.pick()]
+		h.full = 1
+		return func() { h.full = 0 }
+	},
+	"all have no room": func(w *world) func() {
+		for _, name := range names {
+			w.hosts[name].full = 1
+		}
+		return func() {
+			for _, name := range names {
+				w.hosts[name].full = 0
+			}
+		}
+	},
+	"all have room now and then": func(w *world) func() {
+		for _, name := range names {
+			w.hosts[name].full = 0.3
+		}
+		return func() {
+			for _, name := range names {
+				w.hosts[name].full = 0
+			}
+		}
+	},
+	"one has no room and is killed": func(w *world) func() {
+		h := w.hosts[w.pick()]
+		h.full = 1
+		w.run(time.Second)
+		h.crash()
+		return func() {
+			h.full = 0
+			h.boot(false)
+		}
+	},
+	"one has no room, another is killed": func(w *world) func() {
+		h, other := w.hosts["c1"], w.hosts["c2"]
+		h.full = 1
+		w.run(500 * time.Millisecond)
+		other.crash()
+		return func() {
+			h.full = 0
+			other.boot(false)
+		}
+	},
 	"a stale one and one without a disk meet": func(w *world) func() {
 		stale, lost, dark := w.hosts["c1"], w.hosts["c2"], w.hosts["c3"]
 		w.cut(stale.name, true)
--- a/core/hosts.go
+++ b/core/hosts.go
@@ -87,14 +87,19 @@
 		return
 	}
 	n.joinAt = now.Add(joinInterval)
+	n.askCore(msgs.CoreJoin{Host: n.Self, Founding: n.founders != nil})
+	n.foundCore(now)
+}
+
+// askCore asks the seeds and the members known.
+func (n *Node) askCore(m msgs.CoreJoin) {
 	hosts := slices.Concat(n.Seeds, n.members)
 	slices.Sort(hosts)
 	for _, host := range slices.Compact(hosts) {
 		if host != n.Self {
-			_ = n.Send(host, msgs.ServiceCore, msgs.CoreJoin{Host: n.Self, Founding: n.founders != nil}) // asked again
+			_ = n.Send(host, msgs.ServiceCore, m) // asked again
 		}
 	}
-	n.foundCore(now)
 }
 
 // foundCore begins the core with all hosts that have asked to. Only the first of
@@ -144,7 +149,7 @@
 		}
 		return
 	}
-	if n.watch != nil && !slices.Contains(n.members, m.Host) {
+	if n.watch != nil && !n.room.full && !slices.Contains(n.members, m.Host) {
 		reply.Slot = n.replace(status, m.Host, now)
 	}
 	_ = n.Send(m.Host, msgs.ServiceCore, reply) // the host asks again
@@ -171,6 +176,7 @@
 // the place of a lost one.
 func (n *Node) joined(m msgs.CoreJoined) {
 	if n.replica != nil {
+		n.toldMeanwhile(m)
 		return
 	}
 	n.leader, n.members = m.Leader, m.Members
--- a/core/node.go
+++ b/core/node.go
@@ -44,11 +44,13 @@
 type Disk struct {
 	Saved   *quorum.Saved // nil when nothing was saved
 	Persist func(p *quorum.Persist) error
+	Full    func(err error) bool // tells that the disk was full and Persist may be tried again
 }
 
 // Hooks are the seams for events.
 type Hooks struct {
 	Failed  func(err error)
+	Full    func(after time.Duration, err error) // this host waits for room on its disk, or, without an error, goes on after a time
 	Leading func(leading bool, view uint64)
 	Joined  func(members []string) // this host takes part in the group
 	Routes  func(version uint64)   // committed
@@ -83,6 +85,9 @@
 	founders map[string]bool   // hosts that start for the first time too, nil on others
 	foundAt  time.Time
 	outside  time.Time // since when this host is no member, zero while it is
+	room     room
+	open     map[uint64]func(Answer) // decisions that this host has begun as the leader
+	nextOpen uint64
 
 	routesSince time.Time // when this host learned of the newest routes
 }
@@ -150,6 +155,7 @@
 		Reset:   func() { n.book = fleet.NewBook() },
 		Install: n.install,
 		Persist: n.Disk.Persist,
+		Full:    n.Disk.Full,
 		Send: func(m quorum.Message) {
 			_ = n.Send(m.To, msgs.ServiceCore, m) // the protocol repeats what is lost
 		},
@@ -207,7 +213,7 @@
 	switch m := msg.(type) {
 	case quorum.Message:
 		n.heard[m.From] = now
-		if n.replica != nil {
+		if n.replica != nil && !n.room.full {
 			n.replica.Step(m, now)
 		}
 	case msgs.HostRenew:
@@ -244,6 +250,9 @@
 		n.askToJoin(now)
 		return
 	}
+	if n.room.full && !n.tryDisk(now) {
+		return
+	}
 	n.replica.Tick(now)
 	n.settle(now)
 	if n.watch != nil {
@@ -257,6 +266,9 @@
 		return
 	}
 	n.log.Settle(now)
+	if n.lacksRoom(now) {
+		return
+	}
 	status := n.replica.Status(now)
 	n.lead(status, now)
 	if n.replaced(status, now) {
@@ -270,6 +282,7 @@
 		n.log.Enqueue(fleet.Command{Kind: fleet.KindPlace, Placement: &p}, nil)
 	}
 	n.log.Settle(now)
+	n.lacksRoom(now)
 }
 
 // lead follows who leads.
@@ -290,12 +303,16 @@
 		n.watch = fleet.NewWatch(now)
 		n.Hooks.Leading(true, status.View)
 	case !status.Leading && n.watch != nil:
-		n.watch = nil
-		n.log.Drop()
-		n.Hooks.Leading(false, status.View)
+		n.leadNoMore(status.View)
 	}
 }
 
+func (n *Node) leadNoMore(view uint64) {
+	n.watch, n.open = nil, nil
+	n.log.Drop()
+	n.Hooks.Leading(false, view)
+}
+
 // replaced tells whether another host has taken the place of this one.
 func (n *Node) replaced(status quorum.Status, now time.Time) bool {
 	if status.Recovering || slices.Contains(n.members, n.Self) {
@@ -310,7 +327,7 @@
 
 // placements returns who places, as far as this host knows.
 func (n *Node) placements() []model.Placement {
-	if n.replica == nil {
+	if n.replica == nil || n.room.told {
 		return n.others
 	}
 	return n.book.Placements()
--- a/core/service.go
+++ b/core/service.go
@@ -31,7 +31,7 @@
 
 // drained hands the lead over before the service stops.
 func (n *Node) drained(*kernel.Task) bool {
-	if n.replica == nil || n.failed {
+	if n.replica == nil || n.failed || n.room.full {
 		return true
 	}
 	now := n.Now()
--- a/core/world_test.go
+++ b/core/world_test.go
@@ -33,6 +33,11 @@
 	up     bool
 	frozen time.Time // until then it does nothing
 	life   int
+	full   float64 // share of the writes that find no room
+	broken bool    // syncs fail
+	failed int     // times that the node gave up
+	rooms  []bool  // what the node told of its disk
+	tries  int     // writes that found no room
 }
 
 type delivery struct {
@@ -63,7 +68,7 @@
 }
 
 func (h *simHost) boot(founding bool) {
-	store, err := disk.Open(h.folder, disk.WithFiles(quickFiles()))
+	store, err := disk.Open(h.folder, disk.WithFiles(h.files()))
 	if err != nil {
 		h.w.t.Fatal(err)
 	}
@@ -77,9 +82,18 @@
 			Commands: codec.FleetCommands, FromCommands: codec.FromFleetCommands,
 			Snapshot: codec.FleetSnapshot, FromSnapshot: codec.FromFleetSnapshot,
 		},
-		Disk: Disk{Saved: &saved, Persist: func(p *quorum.Persist) error { return store.Save(*p) }},
+		Disk: Disk{Saved: &saved, Persist: func(p *quorum.Persist) error { return store.Save(*p) }, Full: disk.IsFull},
 		Hooks: Hooks{
-			Failed:  func(err error) { h.w.t.Errorf("%s failed: %v", h.name, err) },
+			Failed: func(err error) {
+				if h.failed++; !h.broken {
+					h.w.t.Errorf("%s failed: %v", h.name, err)
+				}
+			},
+			Full: func(after time.Duration, err error) {
+				if h.rooms = append(h.rooms, err != nil); disk.IsFull(err) == (after > 0) {
+					h.w.t.Errorf("%s tells error %v after %v", h.name, err, after)
+				}
+			},
 			Leading: func(bool, uint64) {},
 			Joined:  func([]string) {},
 			Routes:  func(uint64) {},
--- a/events/hosted.go
+++ b/events/hosted.go
@@ -31,9 +31,19 @@
 	}
 	DiskFailed = Event{
 		Code: 605, Name: "DiskFailed", Level: zerolog.ErrorLevel, Fields: []string{"Error"},
-		Meaning: "The data folder can't be written. This host of the core ends, since it can't keep what it would promise.",
+		Meaning: "The data folder can't be written, and not for lack of room. This host of the core ends, since it can't keep what it would promise.",
 		Action:  "Mend or replace the disk.",
 	}
+	DiskFull = Event{
+		Code: 606, Name: "DiskFull", Level: zerolog.WarnLevel, Fields: []string{"Error"},
+		Meaning: "The disk of this host of the core takes no more. The host acknowledges nothing and decides nothing until it does, and tries twice a second.",
+		Action:  "Make room on the disk that the error names. The host goes on by itself.",
+	}
+	DiskHasRoom = Event{
+		Code: 607, Name: "DiskHasRoom", Level: zerolog.InfoLevel, Fields: []string{"TookMs"},
+		Meaning: "The disk of this host of the core has room again after TookMs, and the host takes part again.",
+		Action:  "None, unless it repeats: then give the disk more room.",
+	}
 	RoutesInForce = Event{
 		Code: 610, Name: "RoutesInForce", Level: zerolog.InfoLevel, Fields: []string{"Version"},
 		Meaning: "A version of the routes is in force on this entry host.",
@@ -154,7 +164,7 @@
 // hostedEvents are the events above in the order of their numbers.
 func hostedEvents() []Event {
 	return []Event{
-		CoreLeading, CoreJoined, RoutesCommitted, RoutesRefused, PlacementCommitted, DiskFailed,
+		CoreLeading, CoreJoined, RoutesCommitted, RoutesRefused, PlacementCommitted, DiskFailed, DiskFull, DiskHasRoom,
 		RoutesInForce, RoutesUnreadable, CoreReached, CoreUnreached, PlacerKnown, PlacerSilent, PlacerAnswers,
 		JobTaken, JobRehanded, JobAnswered, CallerLeft, JobMalformed,
 		PlacingBegan, PlacingEnded, JobHanded, JobPlaced, RunChanged, ServerChanged, OrderUnanswered, ReportMalformed, PlacingSettled,
--- a/hosted/hooks.go
+++ b/hosted/hooks.go
@@ -1,6 +1,8 @@
 package hosted
 
 import (
+	"time"
+
 	"github.com/rs/zerolog"
 
 	"dogwoodrock.example/dogwoodrock/core"
@@ -19,6 +21,15 @@
 			h.Log.At(events.DiskFailed).Err(err).Send()
 			h.Kernel.Fail(err)
 		},
+		Full: func(after time.Duration, err error) {
+			if err == nil {
+				h.Counts.DiskFull.Set(0)
+				h.Log.At(events.DiskHasRoom).Int64("TookMs", after.Milliseconds()).Send()
+				return
+			}
+			h.Counts.DiskFull.Set(1)
+			h.Log.At(events.DiskFull).Err(err).Send()
+		},
 		Leading: func(leading bool, view uint64) {
 			h.Counts.Leading.Set(0)
 			h.Counts.Copies.Set(0)
--- a/hosted/host.go
+++ b/hosted/host.go
@@ -161,7 +161,11 @@
 			Commands: codec.FleetCommands, FromCommands: codec.FromFleetCommands,
 			Snapshot: codec.FleetSnapshot, FromSnapshot: codec.FromFleetSnapshot,
 		},
-		Disk:  core.Disk{Saved: &saved, Persist: func(p *quorum.Persist) error { return store.Save(*p) }},
+		Disk: core.Disk{
+			Saved:   &saved,
+			Persist: func(p *quorum.Persist) error { return store.Save(*p) },
+			Full:    disk.IsFull,
+		},
 		Hooks: h.coreHooks(),
 	}, nil
 }
--- a/metric/hosted.go
+++ b/metric/hosted.go
@@ -23,6 +23,7 @@
 	Committed prometheus.Gauge         // version of the routes that this host of the core has committed
 	Copies    prometheus.Gauge         // members that follow the core's leader
 	Behind    prometheus.Gauge         // log entries of the core's leader that aren't committed
+	DiskFull  prometheus.Gauge         // 1 while this host of the core has no room on its disk
 	Jobs      *prometheus.GaugeVec     // open jobs of the placer on this host, by State
 	States    *prometheus.GaugeVec     // backend servers of the placer on this host, by State
 }
@@ -52,11 +53,12 @@
 	}
 	h.Copies = gauge("CoreCopies", "Members that follow this leader of the core, itself included.")
 	h.Behind = gauge("CoreBehind", "Log entries of this leader of the core that aren't committed.")
+	h.DiskFull = gauge("CoreDiskFull", "1 while this host of the core has no room on its disk.")
 	h.Jobs = gauges("PlacerJobs", "Jobs of the placer on this host.", "State")
 	h.States = gauges("BackendServers", "Backend servers of the placer on this host.", "State")
 	dropped := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "dogwoodrock_LogLinesLeftOut_total", Help: "Log lines left out by the limits or dropped for a slow reader."}, lines)
 	s.registry.MustRegister(h.Answers, h.Total, h.Placed, h.RunRetry, h.RunStops, h.Besides, h.Rejoined, h.Starting, h.Running, h.Servers, h.Rehanded,
-		h.Epoch, h.Routes, h.Leading, h.CoreLost, h.Committed, h.Copies, h.Behind, h.Jobs, h.States, dropped)
+		h.Epoch, h.Routes, h.Leading, h.CoreLost, h.Committed, h.Copies, h.Behind, h.DiskFull, h.Jobs, h.States, dropped)
 	return h
 }
 
--- a/replog/log.go
+++ b/replog/log.go
@@ -24,6 +24,7 @@
 	Reset   func()                  // empties the state machine
 	Install func(data []byte) error // replaces the state machine by a snapshot
 	Persist func(p *quorum.Persist) error
+	Full    func(err error) bool // tells that Persist may be tried again, nil for never
 	Send    func(m quorum.Message)
 	Fail    func(err error) // receives what can't be encoded, decoded or persisted
 	Batch   int             // commands in one entry
@@ -31,6 +32,9 @@
 	commands []C // not proposed yet
 	effects  []func(R)
 	flights  map[uint64][]func(R)
+	held     quorum.Output // waits for room on the disk
+	lack     error         // why it waits
+	failed   bool          // nothing is carried out any more
 }
 
 // Enqueue has a command committed. The effect, which may be nil, is called with
@@ -49,14 +53,36 @@
 }
 
 // Settle proposes what waits and carries out what the replica asks for, until
-// it asks for nothing more.
+// it asks for nothing more. It does nothing while an output waits for room.
 func (l *Log[C, R]) Settle(now time.Time) {
+	if l.failed || l.lack != nil {
+		return
+	}
 	l.propose(now)
 	for l.carryOut(l.Replica.Drain()) {
 		l.propose(now)
 	}
 }
 
+// Held returns why an output waits for room on the disk, nil when none does.
+// While one does, the replica must not be called: it has to stand still.
+func (l *Log[C, R]) Held() error {
+	return l.lack
+}
+
+// Retry tries the output that waits again and goes on after it. Its messages are
+// dropped, as they are old: the protocol repeats what is lost.
+func (l *Log[C, R]) Retry(now time.Time) {
+	if l.lack == nil {
+		return
+	}
+	out := l.held
+	out.Messages = nil
+	l.held, l.lack = quorum.Output{}, nil
+	l.carryOut(out)
+	l.Settle(now)
+}
+
 func (l *Log[C, R]) propose(now time.Time) {
 	if len(l.commands) == 0 || len(l.flights) >= maxFlights {
 		return
@@ -89,7 +115,7 @@
 func (l *Log[C, R]) carryOut(out quorum.Output) bool {
 	if out.Persist != nil && l.Persist != nil {
 		if err := l.Persist(out.Persist); err != nil {
-			l.Fail(err)
+			l.unsaved(out, err)
 			return false // nothing may be sent that isn't synced
 		}
 	}
@@ -110,6 +136,17 @@
 	return len(out.Committed) > 0
 }
 
+// unsaved keeps an output that a full disk didn't take. After any other error
+// nothing is carried out any more.
+func (l *Log[C, R]) unsaved(out quorum.Output, err error) {
+	if l.Full != nil && l.Full(err) {
+		l.held, l.lack = out, err
+		return
+	}
+	l.failed = true
+	l.Fail(err)
+}
+
 func (l *Log[C, R]) commit(e quorum.Entry) {
 	effects := l.flights[e.Op]
 	delete(l.flights, e.Op)
