Count how long jobs wait and run by route and outcome

Only the total had a route: of a route that is slow, operators couldn't see whether its jobs wait for servers or run long.

The end of a job tells how long it waited until the latest start of a task; the placer's host observes it, and the rest of the job's time if no task still waited, in dogwoodrock_JobWaiting_seconds and dogwoodrock_JobRunning_seconds.

--- a/hosted/hooks.go
+++ b/hosted/hooks.go
@@ -120,7 +120,7 @@
 		},
 		Event: h.runEvent,
 		End: func(e runs.End) {
-			h.Counts.Placed.WithLabelValues(e.State.String()).Inc()
+			h.countEnd(e)
 			h.Log.At(unless(e.State == model.JobEndComplete, events.JobPlaced)).Str("Job", e.Job).Str("Route", e.Route).Stringer("Outcome", e.State).
 				Str("Reason", e.Reason).Int64("TookMs", e.Took.Milliseconds()).Int64("WaitMs", e.Wait.Milliseconds()).
 				Int("Waiting", e.Waiting).Int("Servers", e.Servers).Send()
@@ -153,6 +153,16 @@
 	return e
 }
 
+// countEnd observes how long a job waited and, if all its tasks were started, ran.
+func (h *Host) countEnd(e runs.End) {
+	outcome := e.State.String()
+	h.Counts.Placed.WithLabelValues(outcome).Inc()
+	h.Counts.Waiting.WithLabelValues(e.Route, outcome).Observe(e.Waited.Seconds())
+	if e.Waited < e.Took {
+		h.Counts.Worked.WithLabelValues(e.Route, outcome).Observe((e.Took - e.Waited).Seconds())
+	}
+}
+
 func (h *Host) countRun(e runs.Event) {
 	switch e.Kind {
 	case runs.EventStarted:
--- a/metric/hosted.go
+++ b/metric/hosted.go
@@ -7,6 +7,8 @@
 type Hosted struct {
 	Answers   *prometheus.CounterVec   // answers to callers, by Route, Outcome and Reason
 	Total     *prometheus.HistogramVec // seconds from a job's arrival to its answer, by Route and Outcome
+	Waiting   *prometheus.HistogramVec // seconds from a job's arrival to the latest start of a task, by Route and Outcome
+	Worked    *prometheus.HistogramVec // seconds from that start to the end of the job, by Route and Outcome
 	Placed    *prometheus.CounterVec   // jobs that the placer ended, by Outcome
 	RunRetry  *prometheus.CounterVec   // tasks that wait again, by Reason
 	RunStops  *prometheus.CounterVec   // runs ordered to stop, by Reason
@@ -36,6 +38,8 @@
 	h := &Hosted{
 		Answers:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dogwoodrock_Answers_total", Help: "Answers to callers."}, []string{"Route", "Outcome", "Reason"}),
 		Total:     histograms("Job_seconds", "Time from the arrival of a job to its answer.", "Route", "Outcome"),
+		Waiting:   histograms("JobWaiting_seconds", "Time from the arrival of a job to the latest start of a task.", "Route", "Outcome"),
+		Worked:    histograms("JobRunning_seconds", "Time from the latest start of a task to the end of its job.", "Route", "Outcome"),
 		Placed:    counters("JobsPlaced_total", "Jobs that the placer ended.", "Outcome"),
 		RunRetry:  counters("RunRetries_total", "Tasks that wait for a backend server again.", "Reason"),
 		RunStops:  counters("RunStops_total", "Runs that were ordered to stop.", "Reason"),
@@ -57,7 +61,7 @@
 	h.Jobs = gauges("PlacerJobs", "Jobs of the placer on this host.", "State")
 	h.States = gauges("BackendServers", "Backend servers of the placer on this host.", "State")
 	dropped := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "dogwoodrock_LogLinesLeftOut_total", Help: "Log lines left out by the limits or dropped for a slow reader."}, lines)
-	s.registry.MustRegister(h.Answers, h.Total, h.Placed, h.RunRetry, h.RunStops, h.Besides, h.Rejoined, h.Starting, h.Running, h.Servers, h.Rehanded,
+	s.registry.MustRegister(h.Answers, h.Total, h.Waiting, h.Worked, h.Placed, h.RunRetry, h.RunStops, h.Besides, h.Rejoined, h.Starting, h.Running, h.Servers, h.Rehanded,
 		h.Epoch, h.Routes, h.Leading, h.CoreLost, h.Committed, h.Copies, h.Behind, h.DiskFull, h.Jobs, h.States, dropped)
 	return h
 }
--- a/runs/look.go
+++ b/runs/look.go
@@ -118,7 +118,7 @@
 			t.done = true
 			t.job.idle--
 			t.job.open--
-			t.job.began = true
+			t.job.began, t.job.start = true, now
 			if t.job.open == 0 {
 				p.complete(t.job, now)
 				return false
@@ -136,7 +136,7 @@
 		s.take(r)
 		t.run, t.last = r, r.number
 		t.job.idle--
-		t.job.began = true
+		t.job.began, t.job.start = true, now
 		p.event(Event{Kind: EventAdopted, Job: t.job.ID, Task: t.name, Run: r.number, Server: s.Name})
 		return true
 	}
--- a/runs/order.go
+++ b/runs/order.go
@@ -16,7 +16,7 @@
 	}
 	t.run = r
 	t.job.idle--
-	t.job.began = true
+	t.job.began, t.job.start = true, now
 	s.take(r)
 	p.out.Starts = append(p.out.Starts, Start{
 		Server: s.Server, Task: r.name, Run: r.number, Spec: t.job.Spec, Deadline: s.grant(now), Fence: p.epoch,
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -49,6 +49,7 @@
 	due   time.Time // latest start that meets the objective
 	order time.Time // place in the queue
 	began bool      // a task was started
+	start time.Time // latest of a task
 }
 
 type task struct {
@@ -113,7 +114,7 @@
 		return
 	}
 	if e, ok := p.ended[j.ID]; ok {
-		p.out.Ends = append(p.out.Ends, End{Job: j.ID, Host: j.Host, Route: j.Route, State: e.state, Took: now.Sub(j.Came)})
+		p.out.Ends = append(p.out.Ends, End{Job: j.ID, Host: j.Host, Route: j.Route, State: e.state, Took: now.Sub(j.Came), Waited: now.Sub(j.Came)})
 		return
 	}
 	k := &job{Job: j, tasks: make([]task, j.Tasks), open: j.Tasks, idle: j.Tasks}
@@ -181,7 +182,7 @@
 
 // end tells the end of a job and forgets it.
 func (p *Placer) end(j *job, state model.JobEnd, reason string, now time.Time) {
-	e := End{Job: j.ID, Host: j.Host, Route: j.Route, State: state, Reason: reason, Took: now.Sub(j.Came)}
+	e := End{Job: j.ID, Host: j.Host, Route: j.Route, State: state, Reason: reason, Took: now.Sub(j.Came), Waited: j.waited(now)}
 	if state != model.JobEndComplete {
 		e.Wait, e.Waiting, e.Servers = p.wait(j, now), len(p.waiting), p.inUse(now)
 	}
@@ -195,6 +196,14 @@
 	p.drop(j, "job ended", now)
 }
 
+// waited returns how long the job waited for the latest start of a task.
+func (j *job) waited(now time.Time) time.Duration {
+	if j.idle > 0 || j.start.IsZero() {
+		return now.Sub(j.Came)
+	}
+	return max(0, j.start.Sub(j.Came)) // Came may be that of a resend
+}
+
 // Tick does what is due by time.
 func (p *Placer) Tick(now time.Time) {
 	p.awake(now)
--- a/runs/types.go
+++ b/runs/types.go
@@ -62,6 +62,7 @@
 	Reason     string
 	RetryAfter time.Duration
 	Took       time.Duration // since the job came
+	Waited     time.Duration // of it, until the latest start of a task; all of it when one still waits
 	Wait       time.Duration // that the work ahead of it was expected to take, unless it is complete
 	Waiting    int           // jobs that waited
 	Servers    int           // backend servers that could get tasks
--- /dev/null
+++ b/runs/waited_test.go
@@ -0,0 +1,81 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
+)
+
+// after lets time pass as a placer sees it that doesn't stand still.
+func (d *desk) after(wait time.Duration) {
+	for end := d.now.Add(wait); d.now.Before(end); {
+		d.now = d.now.Add(20 * time.Millisecond)
+		d.p.Tick(d.now)
+	}
+}
+
+// end has the run of a job's only task end on its server, as the n-th there.
+func (d *desk) end(server, job string, n uint64, run int, how How) Output {
+	d.drain()
+	d.look(server, nil, []Ended{{N: n, Task: job + ".0.0.0", Run: run, How: how}})
+	return d.drain()
+}
+
+// TestWaited checks how long an End says that a job waited for the start of its
+// last task.
+func TestWaited(t *testing.T) {
+	const step = 100 * time.Millisecond
+	tests := map[string]struct {
+		play   func(d *desk) Output
+		state  model.JobEnd
+		waited time.Duration
+		took   time.Duration
+	}{
+		"started at once": {state: model.JobEndComplete, took: step, play: func(d *desk) Output {
+			s := d.begin("j")
+			d.after(step)
+			return d.end(s, "j", 1, 1, HowDone)
+		}},
+		"waited for a server": {state: model.JobEndComplete, waited: step, took: 2 * step, play: func(d *desk) Output {
+			first := d.begin("k")
+			d.begin("l")
+			d.submit("j", "h1")
+			d.drain()
+			d.after(step)
+			d.end(first, "k", 1, 1, HowDone)
+			d.after(step)
+			return d.end(first, "j", 2, 1, HowDone)
+		}},
+		"a run failed": {state: model.JobEndComplete, waited: step, took: 2 * step, play: func(d *desk) Output {
+			s := d.begin("j")
+			d.after(step)
+			second := d.end(s, "j", 1, 1, HowFailed).Starts[0].Server.Name
+			d.after(step)
+			return d.end(second, "j", 1, 2, HowDone)
+		}},
+		"its time is over while it waits": {state: model.JobEndRefused, waited: 10 * step, took: 10 * step, play: func(d *desk) Output {
+			d.begin("k")
+			d.begin("l")
+			d.submit("j", "h1")
+			d.drain()
+			d.after(10 * step)
+			return d.drain()
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			for _, e := range tt.play(d).Ends {
+				if e.Job != "j" {
+					continue
+				}
+				if e.State != tt.state || e.Waited != tt.waited || e.Took != tt.took {
+					t.Errorf("%v after %v, waited %v, want %v after %v, waited %v", e.State, e.Took, e.Waited, tt.state, tt.took, tt.waited)
+				}
+				return
+			}
+			t.Error("the job has no end")
+		})
+	}
+}
