Hold the full disk's tests to what was still unguarded

Five mechanisms were switched off one at a time on a scratch copy. Two went unseen in package core: messages sent though their output found no room, and a replica that is stepped while it should stand still; one in package disk: a sync that fails once with ENOSPC taken for a full disk. Now no message of a held output may leave a host, the replica may not move on, and a sync that fails once ends the use of the folder. Another fault has the followers without room while the leader loses its disk.

--- a/core/chaos_test.go
+++ b/core/chaos_test.go
@@ -129,6 +129,25 @@
 			h.boot(false)
 		}
 	},
+	"all but the leader have no room and it loses its disk": func(w *world) func() {
+		leader := w.leader()
+		for _, name := range names {
+			if name != leader.name {
+				w.hosts[name].full = 1
+			}
+		}
+		w.putAll()
+		for _, name := range names {
+			w.hosts[name].crash()
+		}
+		leader.wipe()
+		return func() {
+			for _, name := range names {
+				w.hosts[name].full = 0
+				w.hosts[name].boot(false)
+			}
+		}
+	},
 	"one has no room, another is killed": func(w *world) func() {
 		h, other := w.hosts["c1"], w.hosts["c2"]
 		h.full = 1
--- a/core/room_test.go
+++ b/core/room_test.go
@@ -105,6 +105,9 @@
 	if h.node.watch != nil {
 		w.t.Errorf("%s leads", h.name)
 	}
+	if got := h.node.replica.Status(w.now); got.View != h.stood.View || got.Op != h.stood.Op || got.Commit != h.stood.Commit {
+		w.t.Errorf("the replica of %s goes on from %+v to %+v", h.name, h.stood, got)
+	}
 }
 
 // TestFullHostTells checks that a host whose disk is full learns from the others
--- a/core/world_test.go
+++ b/core/world_test.go
@@ -33,11 +33,12 @@
 	up     bool
 	frozen time.Time // until then it does nothing
 	life   int
-	full   float64 // share of the writes that find no room
-	broken bool    // syncs fail
-	failed int     // times that the node gave up
-	rooms  []bool  // what the node told of its disk
-	tries  int     // writes that found no room
+	full   float64       // share of the writes that find no room
+	broken bool          // syncs fail
+	failed int           // times that the node gave up
+	rooms  []bool        // what the node told of its disk
+	stood  quorum.Status // of the replica when the disk became full
+	tries  int           // writes that found no room
 }
 
 type delivery struct {
@@ -93,6 +94,7 @@
 				if h.rooms = append(h.rooms, err != nil); disk.IsFull(err) == (after > 0) {
 					h.w.t.Errorf("%s tells error %v after %v", h.name, err, after)
 				}
+				h.stood = h.node.replica.Status(h.w.now)
 			},
 			Leading: func(bool, uint64) {},
 			Joined:  func([]string) {},
@@ -103,6 +105,9 @@
 		Now:    func() time.Time { return h.w.now },
 		Random: h.w.rng.Uint64,
 		Send: func(to, service string, body any) error {
+			if _, ok := body.(quorum.Message); ok && h.node.log.Held() != nil {
+				h.w.t.Errorf("%s sends %+v while its disk is full", h.name, body)
+			}
 			if h.life == life && service == msgs.ServiceCore {
 				h.w.send(h.name, to, body)
 			}
--- a/disk/full_test.go
+++ b/disk/full_test.go
@@ -19,12 +19,16 @@
 	file  string // beginning of the name
 	part  int    // bytes that a write leaves
 	cause error
+	once  bool
 }
 
 func (f *fault) hits(op, file string) error {
 	if f.op != op || !strings.HasPrefix(filepath.Base(file), f.file) {
 		return nil
 	}
+	if f.once {
+		f.op = ""
+	}
 	return &os.PathError{Op: op, Path: file, Err: f.cause}
 }
 
@@ -90,6 +94,8 @@
 		"no room for the first log":            {fault: fault{op: "write", file: logPrefix, part: 40, cause: syscall.ENOSPC}, first: true},
 		"no room for the mark":                 {fault: fault{op: "write", file: markName, part: 3, cause: syscall.ENOSPC}, first: true},
 		"a sync that tells of no room":         {fault: fault{op: "sync", file: logPrefix, cause: syscall.ENOSPC}, ends: true},
+		"a sync that tells so once":            {fault: fault{op: "sync", file: logPrefix, cause: syscall.ENOSPC, once: true}, ends: true},
+		"a sync of a snapshot":                 {fault: fault{op: "sync", file: snapshotPrefix, cause: syscall.EDQUOT, once: true}, save: snapshotOf, ends: true},
 		"a sync of the folder":                 {fault: fault{op: "sync", file: "001", cause: syscall.ENOSPC}, save: snapshotOf, ends: true},
 		"a broken disk, on a write":            {fault: fault{op: "write", file: logPrefix, part: 40, cause: syscall.EIO}, ends: true},
 		"a broken disk, on a sync":             {fault: fault{op: "sync", file: logPrefix, cause: syscall.EIO}, ends: true},
