--- a/metric/hosted.go
+++ b/metric/hosted.go
@@ -7,6 +7,8 @@
 type Hosted struct {
 	Answers   *prometheus.CounterVec   // answers to callers, by Route, Outcome and Reason
 	Total     *prometheus.HistogramVec // seconds from a job's arrival to its answer, by Route and Outcome
+	Waiting   *prometheus.HistogramVec // seconds from a job's arrival to the latest start of a task, by Route and Outcome
+	Worked    *prometheus.HistogramVec // seconds from that start to the end of the job, by Route and Outcome
 	Placed    *prometheus.CounterVec   // jobs that the placer ended, by Outcome
 	RunRetry  *prometheus.CounterVec   // tasks that wait again, by Reason
 	RunStops  *prometheus.CounterVec   // runs ordered to stop, by Reason
@@ -23,6 +25,7 @@
 	Committed prometheus.Gauge         // version of the routes that this host of the core has committed
 	Copies    prometheus.Gauge         // members that follow the core's leader
 	Behind    prometheus.Gauge         // log entries of the core's leader that aren't committed
+	DiskFull  prometheus.Gauge         // 1 while this host of the core has no room on its disk
 	Jobs      *prometheus.GaugeVec     // open jobs of the placer on this host, by State
 	States    *prometheus.GaugeVec     // backend servers of the placer on this host, by State
 }
@@ -35,6 +38,8 @@
 	h := &Hosted{
 		Answers:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dogwoodrock_Answers_total", Help: "Answers to callers."}, []string{"Route", "Outcome", "Reason"}),
 		Total:     histograms("Job_seconds", "Time from the arrival of a job to its answer.", "Route", "Outcome"),
+		Waiting:   histograms("JobWaiting_seconds", "Time from the arrival of a job to the latest start of a task.", "Route", "Outcome"),
+		Worked:    histograms("JobRunning_seconds", "Time from the latest start of a task to the end of its job.", "Route", "Outcome"),
 		Placed:    counters("JobsPlaced_total", "Jobs that the placer ended.", "Outcome"),
 		RunRetry:  counters("RunRetries_total", "Tasks that wait for a backend server again.", "Reason"),
 		RunStops:  counters("RunStops_total", "Runs that were ordered to stop.", "Reason"),
@@ -52,11 +57,12 @@
 	}
 	h.Copies = gauge("CoreCopies", "Members that follow this leader of the core, itself included.")
 	h.Behind = gauge("CoreBehind", "Log entries of this leader of the core that aren't committed.")
+	h.DiskFull = gauge("CoreDiskFull", "1 while this host of the core has no room on its disk.")
 	h.Jobs = gauges("PlacerJobs", "Jobs of the placer on this host.", "State")
 	h.States = gauges("BackendServers", "Backend servers of the placer on this host.", "State")
 	dropped := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "dogwoodrock_LogLinesLeftOut_total", Help: "Log lines left out by the limits or dropped for a slow reader."}, lines)
-	s.registry.MustRegister(h.Answers, h.Total, h.Placed, h.RunRetry, h.RunStops, h.Besides, h.Rejoined, h.Starting, h.Running, h.Servers, h.Rehanded,
-		h.Epoch, h.Routes, h.Leading, h.CoreLost, h.Committed, h.Copies, h.Behind, h.Jobs, h.States, dropped)
+	s.registry.MustRegister(h.Answers, h.Total, h.Waiting, h.Worked, h.Placed, h.RunRetry, h.RunStops, h.Besides, h.Rejoined, h.Starting, h.Running, h.Servers, h.Rehanded,
+		h.Epoch, h.Routes, h.Leading, h.CoreLost, h.Committed, h.Copies, h.Behind, h.DiskFull, h.Jobs, h.States, dropped)
 	return h
 }
 
