Give leases by the slowest clock that a server may have

What callers saw: nothing yet; found in a review. A lease was given until a time on the server's clock as if that ran at the full rate since it was read last. It is read with answers only, and a server on which nothing runs isn't called: after 40 s of rest a clock that is 2% slow is 0.8 s behind, so that a run held its lease for 1.72 s after its entry host was last known to wait, instead of 1.07 s. Its caller may send the job again after 1.3 s.

Cause: the one estimate of the clock that is not a lower bound.

Evidence: TestLeaseAfterRest failed before after 10 s (1.275 s) and 40 s (1.72 s) of rest. A server with a clock of the full rate may now refuse the first start after a long rest as late, having begun nothing; its answer tells the clock.

--- /dev/null
+++ b/runs/lease_test.go
@@ -0,0 +1,94 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
+)
+
+// clerk drives a desk and keeps the lease that each server holds.
+type clerk struct {
+	*desk
+	begin time.Time
+	rate  float64
+	lease map[string]int64
+}
+
+func newClerk(t *testing.T, rate float64) *clerk {
+	d := newDesk(t)
+	return &clerk{desk: d, begin: d.now, rate: rate, lease: map[string]int64{}}
+}
+
+// clock returns the time on the servers' clocks.
+func (c *clerk) clock() int64 {
+	return 5000 + int64(c.rate*float64(c.now.Sub(c.begin).Milliseconds()))
+}
+
+// work carries out what is ordered, and returns the starts.
+func (c *clerk) work(active map[string][]Listed, ended map[string][]Ended) []Start {
+	out := c.drain()
+	for _, o := range out.Starts {
+		c.hold(o.Server.Name, o.Deadline)
+		c.p.Started(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Outcome: OutcomeTaken, Clock: c.clock()}, c.now)
+	}
+	for _, o := range out.Looks {
+		c.hold(o.Server.Name, o.Deadline)
+		c.p.Looked(Seen{
+			Server: o.Server.Name, Born: 1, Seq: o.Seq, Outcome: OutcomeTaken, Clock: c.clock(), Sent: c.now,
+			Active: active[o.Server.Name], Ended: ended[o.Server.Name],
+		}, c.now)
+	}
+	return out.Starts
+}
+
+// hold prolongs a lease as a server does.
+func (c *clerk) hold(name string, deadline int64) {
+	c.lease[name] = max(c.lease[name], min(deadline, c.clock()+longestLease.Milliseconds()))
+}
+
+// ends returns when the server's lease is over.
+func (c *clerk) ends(name string) time.Time {
+	return c.now.Add(time.Duration(float64(c.lease[name]-c.clock())/c.rate) * time.Millisecond)
+}
+
+func (c *clerk) pass(span time.Duration) {
+	for end := c.now.Add(span); c.now.Before(end); {
+		c.now = c.now.Add(50 * time.Millisecond)
+		for i := range c.servers {
+			c.servers[i].Seq++
+			c.p.Report(c.servers[i], c.now)
+		}
+		c.p.Tick(c.now)
+	}
+}
+
+func (c *clerk) ask(id, host string) {
+	c.p.Submit(Job{
+		ID: id, Host: host, Incarnation: 1, Service: "svc", Tasks: 1, Attempts: 3, Came: c.now,
+		Objective: time.Minute, Expires: time.Minute,
+		Demand: model.Demand{CPU: 100, MemoryMB: 1, Expected: 200 * time.Millisecond},
+	}, c.now)
+}
+
+// slowBound is how long a lease of waitTime lasts on a slow clock, and a rounding.
+const slowBound = waitTime*100/98 + 2*time.Millisecond
+
+// TestLeaseAfterRest starts a task on a server whose slow clock wasn't read for a
+// while, since nothing ran there.
+func TestLeaseAfterRest(t *testing.T) {
+	for name, rest := range map[string]time.Duration{"at once": 0, "10 s": 10 * time.Second, "40 s": 40 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			c := newClerk(t, clockRate)
+			c.pass(rest)
+			c.p.Waits("h1", c.now)
+			waited := c.now
+			c.pass(700 * time.Millisecond)
+			c.ask("j", "h1")
+			o := c.work(nil, nil)[0]
+			if got := c.ends(o.Server.Name).Sub(waited); got > slowBound {
+				t.Fatalf("the run holds a lease until %v after its host waited, want %v at most", got, slowBound)
+			}
+		})
+	}
+}
--- a/runs/server.go
+++ b/runs/server.go
@@ -208,7 +208,7 @@
 	if left <= 0 {
 		return 0
 	}
-	return s.clock + (now.Sub(s.clockAt) + left).Milliseconds()
+	return s.clockNow(now) + left.Milliseconds()
 }
 
 // short tells whether the lease of what runs on the server ends soon and may be
