Keep the latest withdrawal of a job

What callers saw: nothing yet; found in a review. A host that withdraws a job twice, as its caller came back to it and left again, lists both in its pulses. The first one's own message is repeated by the reliable link for up to 2.6 s, and lowered the number that was remembered: the second hand-over behind it on that link then began a job that nobody waits for, while the host's pulses tell that it waits for all that it hasn't withdrawn. By then its caller may have sent the job to another data centre.

Evidence: TestWithdrawalsOfOneJob failed before in the case "the earlier one comes late".

--- a/runs/lease_test.go
+++ b/runs/lease_test.go
@@ -92,3 +92,32 @@
 		})
 	}
 }
+
+// TestWithdrawalsOfOneJob has a host withdraw a job twice. Its pulses may overtake
+// what travels on the reliable link.
+func TestWithdrawalsOfOneJob(t *testing.T) {
+	tests := map[string]struct {
+		hands []uint64 // of the withdrawals as they come
+		hand  uint64   // of the hand-over that comes then
+		taken bool
+	}{
+		"in order":                   {hands: []uint64{1, 2}, hand: 2},
+		"the earlier one comes late": {hands: []uint64{2, 1}, hand: 2},
+		"a third life":               {hands: []uint64{2, 1}, hand: 3, taken: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			for _, hand := range tt.hands {
+				d.p.Withdraw("j", "h1", hand, d.now)
+			}
+			d.p.Submit(Job{
+				ID: "j", Host: "h1", Hand: tt.hand, Service: "svc", Tasks: 1, Attempts: 3, Came: d.now, Objective: time.Minute, Expires: time.Minute,
+				Demand: model.Demand{CPU: 1000, MemoryMB: 1, Expected: 200 * time.Millisecond},
+			}, d.now)
+			if taken := len(d.drain().Starts) == 1; taken != tt.taken {
+				t.Fatalf("the job is started: %v, want %v", taken, tt.taken)
+			}
+		})
+	}
+}
--- a/runs/wait.go
+++ b/runs/wait.go
@@ -68,7 +68,8 @@
 // Withdraw tells that a host waits no more for a job that it handed over, which
 // may not have arrived yet.
 func (p *Placer) Withdraw(id, host string, hand uint64, now time.Time) {
-	p.host(host).withdrawn[id] = withdrawal{hand: hand, at: now}
+	h := p.host(host)
+	h.withdrawn[id] = withdrawal{hand: max(hand, h.withdrawn[id].hand), at: now} // an earlier one may come late
 	if j, ok := p.jobs[id]; ok {
 		p.leave(j, "withdrawn", now, func(w waiter) bool { return w.host == host && w.hand <= hand })
 	}
