Don't eject a server for a run that no entry host claims

What callers saw: after a placer was replaced, sound servers got no tasks for 2 s, up to a third of them, and then one task at a time. A run that is found and claimed by no one in 0.25 s counted as one that stands still.

Evidence: TestUnclaimedRun failed before ("server a is ejected (stands still) since nobody claims a run on it").

--- /dev/null
+++ b/runs/found_test.go
@@ -0,0 +1,40 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
+)
+
+// newTakeover returns a placer that takes over servers a, b and c from the one
+// before. Their first looks are on their way.
+func newTakeover(t *testing.T) *desk {
+	d := &desk{t: t, now: time.Unix(1000, 0)}
+	d.p = New(2, true, d.now)
+	var servers []model.Server
+	for _, name := range []string{"a", "b", "c"} {
+		servers = append(servers, model.Server{Name: name, Address: name, Service: "svc", Born: 1, CPU: 1000, MemoryMB: 10})
+	}
+	d.p.TakeOver(servers, d.now)
+	d.drain()
+	return d
+}
+
+// TestUnclaimedRun has a new placer find a run on a sound server that no entry host
+// claims in time.
+func TestUnclaimedRun(t *testing.T) {
+	d := newTakeover(t)
+	d.look("a", []Listed{{Task: "j.0.0.0", Run: 1}}, nil)
+	d.look("b", nil, nil)
+	d.look("c", nil, nil)
+	for range 8 {
+		d.now = d.now.Add(50 * time.Millisecond)
+		d.p.Tick(d.now)
+		for _, e := range d.drain().Events {
+			if e.Kind == EventEjected {
+				t.Fatalf("server %s is ejected (%s) since nobody claims a run on it", e.Server, e.Reason)
+			}
+		}
+	}
+}
--- a/runs/server.go
+++ b/runs/server.go
@@ -269,6 +269,10 @@
 		case r.state == stateStopping && !now.Before(r.stopAt):
 			p.sendStop(r, now)
 		case r.state == stateRunning && p.stands(r, now):
+			if r.task == nil {
+				p.stop(r, "claimed by no one", now)
+				continue
+			}
 			p.strike(s, "stands still", now)
 			p.stop(r, "stands still", now)
 		}
