Ignore looks that a server's process before may have answered

What callers saw: nothing yet; found in a review. The answer of a server's process before that is handled after the report of the next one, as when the placer was frozen meanwhile, took the server back to that process: its clock counted, known under this epoch, so the next start had a deadline far in the new clock's future and a lease of the longest time, whoever waited.

Evidence: TestLateLook failed before ("born 1, known true, clock 486000").

--- a/runs/found_test.go
+++ b/runs/found_test.go
@@ -38,3 +38,27 @@
 		}
 	}
 }
+
+// TestLateLook has the answer of a server's process before come after the report
+// of its next one.
+func TestLateLook(t *testing.T) {
+	d := newDesk(t)
+	server := d.begin("j")
+	d.drain()
+	next := d.servers[0]
+	if next.Name != server {
+		next = d.servers[1]
+	}
+	next.Born, next.Seq = 2, 1
+	seq := d.p.servers[server].looking
+	if seq == 0 {
+		t.Fatal("there is no look on its way")
+	}
+	d.p.Report(next, d.now)
+	d.drain() // a look at the new process
+	d.p.Looked(Seen{Server: server, Born: 1, Seq: seq, Outcome: OutcomeTaken, Clock: 486000, Sent: d.now}, d.now)
+	s := d.p.servers[server]
+	if s.Born != 2 || s.known || s.clock != 0 {
+		t.Fatalf("born %d, known %v, clock %d after the late answer, want a new process that isn't known", s.Born, s.known, s.clock)
+	}
+}
--- a/runs/server.go
+++ b/runs/server.go
@@ -161,7 +161,7 @@
 	s.known = false
 	s.cursor, s.told, s.acked = 0, 0, 0
 	s.clock, s.lease, s.granted = 0, 0, 0
-	s.looking = 0
+	s.looking, s.looked = 0, p.seq // looks on their way may have reached the process before
 	s.health = health{}
 	p.event(Event{Kind: EventLost, Server: s.Name, Reason: "restarted"})
 }
