--- a/runs/found_test.go
+++ b/runs/found_test.go
@@ -39,6 +39,70 @@
 	}
 }
 
+// TestClaimedRun has a new placer find a run whose entry host waits for it, while
+// another server doesn't answer for some time.
+func TestClaimedRun(t *testing.T) {
+	tests := map[string]struct {
+		silent time.Duration // of the other server
+		lease  bool          // has to be prolonged meanwhile
+	}{
+		"for 0.1 s": {silent: 100 * time.Millisecond},
+		"for 0.4 s": {silent: 400 * time.Millisecond, lease: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newTakeover(t)
+			begin := d.now
+			d.p.Submit(Job{
+				ID: "j", Host: "h1", Incarnation: 1, Hand: 1, Service: "svc", Tasks: 1, Attempts: 3, Came: d.now, Again: true,
+				Objective: time.Minute, Expires: time.Minute, Demand: model.Demand{CPU: 100, MemoryMB: 1, Expected: 2 * time.Second},
+			}, d.now)
+			d.p.Waits("h1", d.now)
+			active := []Listed{{Task: "j.0.0.0", Run: 1}}
+			d.look("a", active, nil)
+			d.look("c", nil, nil)
+			granted := int64(0)
+			for d.now.Sub(begin) < tt.silent {
+				d.now = d.now.Add(50 * time.Millisecond)
+				d.p.Waits("h1", d.now)
+				d.p.Tick(d.now)
+				out := d.drain()
+				for range out.Stops {
+					t.Fatalf("the run is stopped %v after it was found, though its entry host waits", d.now.Sub(begin))
+				}
+				for _, o := range out.Looks {
+					if o.Server.Name == "a" {
+						granted = max(granted, o.Deadline)
+						d.look("a", active, nil)
+					}
+				}
+			}
+			if tt.lease && granted == 0 {
+				t.Fatalf("the server got no lease for the run in %v, though its entry host waits", d.now.Sub(begin))
+			}
+		})
+	}
+}
+
+// TestOtherRunOfBookedTask has a server list a run of a task that has another one
+// booked there, as after a restart that let a late start in.
+func TestOtherRunOfBookedTask(t *testing.T) {
+	d := newDesk(t)
+	server := d.begin("j")
+	d.drain()
+	d.look(server, []Listed{{Task: "j.0.0.0", Run: 7}}, nil)
+	for range 5 {
+		for _, o := range d.drain().Stops {
+			if o.Run == 7 {
+				return
+			}
+		}
+		d.now = d.now.Add(50 * time.Millisecond)
+		d.p.Tick(d.now)
+	}
+	t.Fatal("run 7 is listed while run 1 is booked, and isn't stopped")
+}
+
 // TestLateLook has the answer of a server's process before come after the report
 // of its next one.
 func TestLateLook(t *testing.T) {
--- a/runs/lease_test.go
+++ b/runs/lease_test.go
@@ -74,6 +74,52 @@
 // slowBound is how long a lease of waitTime lasts on a slow clock, and a rounding.
 const slowBound = waitTime*100/98 + 2*time.Millisecond
 
+// TestLeaseOfServer starts a task whose host waited some time ago. A server's lease
+// holds for everything on it and never gets shorter, so the task has the lease
+// that the server holds already.
+func TestLeaseOfServer(t *testing.T) {
+	tests := map[string]func(c *clerk) (server string){
+		"another host's run was prolonged there": func(c *clerk) string {
+			c.ask("k", "h1")
+			server := c.work(nil, nil)[0].Server.Name
+			c.pass(700 * time.Millisecond)
+			c.p.Waits("h1", c.now)
+			c.work(map[string][]Listed{server: {{Task: "k.0.0.0", Run: 1}}}, nil)
+			c.work(map[string][]Listed{server: {{Task: "k.0.0.0", Run: 1}}}, nil)
+			return server
+		},
+		"the end of another host's run was acknowledged there": func(c *clerk) string {
+			c.ask("k", "h1")
+			server := c.work(nil, nil)[0].Server.Name
+			c.pass(700 * time.Millisecond)
+			c.p.Waits("h1", c.now)
+			ended := map[string][]Ended{server: {{N: 1, Task: "k.0.0.0", Run: 1, How: HowDone}}}
+			for range 3 {
+				c.work(nil, ended)
+			}
+			return server
+		},
+		"nothing was there": func(c *clerk) string { c.pass(700 * time.Millisecond); return "a" },
+	}
+	for name, before := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newClerk(t, 1)
+			waited := c.now // of h2
+			before(c)
+			c.now = c.now.Add(50 * time.Millisecond)
+			c.ask("j", "h2")
+			for _, o := range c.work(nil, nil) {
+				if o.Task != "j.0.0.0" {
+					continue
+				}
+				if got := c.ends(o.Server.Name).Sub(waited); got > slowBound {
+					t.Fatalf("the run holds a lease until %v after its host waited, want %v at most", got, slowBound)
+				}
+			}
+		})
+	}
+}
+
 // TestLeaseAfterRest starts a task on a server whose slow clock wasn't read for a
 // while, since nothing ran there.
 func TestLeaseAfterRest(t *testing.T) {
@@ -121,3 +167,18 @@
 		})
 	}
 }
+
+// TestHostsAreForgotten has a withdrawal come after its entry host was lost.
+func TestHostsAreForgotten(t *testing.T) {
+	d := newDesk(t)
+	d.p.HostLost("h1", 0, d.now)
+	d.p.HostLost("h2", 0, d.now)
+	d.p.Withdraw("j", "h1", 1, d.now)
+	for range 100 {
+		d.now = d.now.Add(100 * time.Millisecond)
+		d.p.Tick(d.now)
+	}
+	if len(d.p.hosts) > 0 {
+		t.Fatalf("%d entry hosts are remembered 10 s after they were lost", len(d.p.hosts))
+	}
+}
