Test a late start after its entry host was killed

A task begins half a second after its entry host was killed, as the hand-over was on its way, on a server that has just become empty and was given a lease of 0.95 s when its last end was acknowledged. The server is then cut off, and the caller comes back to another data centre. Fails on this code: "j.0.0.0 begins at 42.307 while run 1 is on s".

--- a/runs/lease_test.go
+++ b/runs/lease_test.go
@@ -182,3 +182,42 @@
 		t.Fatalf("%d entry hosts are remembered 10 s after they were lost", len(d.p.hosts))
 	}
 }
+
+// TestLateStart has a hand-over come some time after its entry host was killed. Its
+// task begins on a server that has just become empty and is then cut off. Its
+// caller comes back to another data centre.
+func TestLateStart(t *testing.T) {
+	const (
+		freed  = 540 * time.Millisecond // since the host was killed, when the server becomes empty
+		handed = 555 * time.Millisecond // when the hand-over arrives
+	)
+	for name, cut := range map[string]bool{"a stop arrives": false, "no stop arrives": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1, trouble{})
+			s := w.addServer("s", "a", 1)
+			w.addServerTo("other", "t", "a", 1)
+			placer, other := w.newPlacer(1), w.newPlacerIn("other", 1)
+			steady, killed := w.newHost("h1", placer), w.newHost("h2", placer)
+			job := func(id string) Job {
+				w.work[id] = 10 * time.Second
+				return Job{
+					ID: id, Service: "svc", Tasks: 1, Attempts: 3, Came: w.now, Objective: time.Minute, Expires: time.Minute,
+					Demand: model.Demand{CPU: 16000, MemoryMB: 64, Expected: 2 * time.Second},
+				}
+			}
+			w.run(time.Second)
+			steady.submit(job("k"))
+			w.run(5 * time.Millisecond)
+			killed.linkFree[placer] = w.now.Add(handed)
+			killed.submit(job("j"))
+			killed.lost = true
+			w.after(freed, func() { s.finish("k.0.0.0", HowDone) })
+			w.after(handed+20*time.Millisecond, func() { s.cut = cut })
+			w.after(resendTime, func() { w.newHost("h3", other).submit(job("j")) })
+			w.run(2 * time.Second)
+			if w.twice != "" {
+				t.Fatal(w.twice)
+			}
+		})
+	}
+}
