--- /dev/null
+++ b/runs/found_test.go
@@ -0,0 +1,128 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
+)
+
+// newTakeover returns a placer that takes over servers a, b and c from the one
+// before. Their first looks are on their way.
+func newTakeover(t *testing.T) *desk {
+	d := &desk{t: t, now: time.Unix(1000, 0)}
+	d.p = New(2, true, d.now)
+	var servers []model.Server
+	for _, name := range []string{"a", "b", "c"} {
+		servers = append(servers, model.Server{Name: name, Address: name, Service: "svc", Born: 1, CPU: 1000, MemoryMB: 10})
+	}
+	d.p.TakeOver(servers, d.now)
+	d.drain()
+	return d
+}
+
+// TestUnclaimedRun has a new placer find a run on a sound server that no entry host
+// claims in time.
+func TestUnclaimedRun(t *testing.T) {
+	d := newTakeover(t)
+	d.look("a", []Listed{{Task: "j.0.0.0", Run: 1}}, nil)
+	d.look("b", nil, nil)
+	d.look("c", nil, nil)
+	for range 8 {
+		d.now = d.now.Add(50 * time.Millisecond)
+		d.p.Tick(d.now)
+		for _, e := range d.drain().Events {
+			if e.Kind == EventEjected {
+				t.Fatalf("server %s is ejected (%s) since nobody claims a run on it", e.Server, e.Reason)
+			}
+		}
+	}
+}
+
+// TestClaimedRun has a new placer find a run whose entry host waits for it, while
+// another server doesn't answer for some time.
+func TestClaimedRun(t *testing.T) {
+	tests := map[string]struct {
+		silent time.Duration // of the other server
+		lease  bool          // has to be prolonged meanwhile
+	}{
+		"for 0.1 s": {silent: 100 * time.Millisecond},
+		"for 0.4 s": {silent: 400 * time.Millisecond, lease: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newTakeover(t)
+			begin := d.now
+			d.p.Submit(Job{
+				ID: "j", Host: "h1", Incarnation: 1, Hand: 1, Service: "svc", Tasks: 1, Attempts: 3, Came: d.now, Again: true,
+				Objective: time.Minute, Expires: time.Minute, Demand: model.Demand{CPU: 100, MemoryMB: 1, Expected: 2 * time.Second},
+			}, d.now)
+			d.p.Waits("h1", d.now)
+			active := []Listed{{Task: "j.0.0.0", Run: 1}}
+			d.look("a", active, nil)
+			d.look("c", nil, nil)
+			granted := int64(0)
+			for d.now.Sub(begin) < tt.silent {
+				d.now = d.now.Add(50 * time.Millisecond)
+				d.p.Waits("h1", d.now)
+				d.p.Tick(d.now)
+				out := d.drain()
+				for range out.Stops {
+					t.Fatalf("the run is stopped %v after it was found, though its entry host waits", d.now.Sub(begin))
+				}
+				for _, o := range out.Looks {
+					if o.Server.Name == "a" {
+						granted = max(granted, o.Deadline)
+						d.look("a", active, nil)
+					}
+				}
+			}
+			if tt.lease && granted == 0 {
+				t.Fatalf("the server got no lease for the run in %v, though its entry host waits", d.now.Sub(begin))
+			}
+		})
+	}
+}
+
+// TestOtherRunOfBookedTask has a server list a run of a task that has another one
+// booked there, as after a restart that let a late start in.
+func TestOtherRunOfBookedTask(t *testing.T) {
+	d := newDesk(t)
+	server := d.begin("j")
+	d.drain()
+	d.look(server, []Listed{{Task: "j.0.0.0", Run: 7}}, nil)
+	for range 5 {
+		for _, o := range d.drain().Stops {
+			if o.Run == 7 {
+				return
+			}
+		}
+		d.now = d.now.Add(50 * time.Millisecond)
+		d.p.Tick(d.now)
+	}
+	t.Fatal("run 7 is listed while run 1 is booked, and isn't stopped")
+}
+
+// TestLateLook has the answer of a server's process before come after the report
+// of its next one.
+func TestLateLook(t *testing.T) {
+	d := newDesk(t)
+	server := d.begin("j")
+	d.drain()
+	next := d.servers[0]
+	if next.Name != server {
+		next = d.servers[1]
+	}
+	next.Born, next.Seq = 2, 1
+	seq := d.p.servers[server].looking
+	if seq == 0 {
+		t.Fatal("there is no look on its way")
+	}
+	d.p.Report(next, d.now)
+	d.drain() // a look at the new process
+	d.p.Looked(Seen{Server: server, Born: 1, Seq: seq, Outcome: OutcomeTaken, Clock: 486000, Sent: d.now}, d.now)
+	s := d.p.servers[server]
+	if s.Born != 2 || s.known || s.clock != 0 {
+		t.Fatalf("born %d, known %v, clock %d after the late answer, want a new process that isn't known", s.Born, s.known, s.clock)
+	}
+}
--- /dev/null
+++ b/runs/lease_test.go
@@ -0,0 +1,223 @@
+package runs
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
+)
+
+// clerk drives a desk and keeps the lease that each server holds.
+type clerk struct {
+	*desk
+	begin time.Time
+	rate  float64
+	lease map[string]int64
+}
+
+func newClerk(t *testing.T, rate float64) *clerk {
+	d := newDesk(t)
+	return &clerk{desk: d, begin: d.now, rate: rate, lease: map[string]int64{}}
+}
+
+// clock returns the time on the servers' clocks.
+func (c *clerk) clock() int64 {
+	return 5000 + int64(c.rate*float64(c.now.Sub(c.begin).Milliseconds()))
+}
+
+// work carries out what is ordered, and returns the starts.
+func (c *clerk) work(active map[string][]Listed, ended map[string][]Ended) []Start {
+	out := c.drain()
+	for _, o := range out.Starts {
+		c.hold(o.Server.Name, o.Deadline)
+		c.p.Started(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Outcome: OutcomeTaken, Clock: c.clock()}, c.now)
+	}
+	for _, o := range out.Looks {
+		c.hold(o.Server.Name, o.Deadline)
+		c.p.Looked(Seen{
+			Server: o.Server.Name, Born: 1, Seq: o.Seq, Outcome: OutcomeTaken, Clock: c.clock(), Sent: c.now,
+			Active: active[o.Server.Name], Ended: ended[o.Server.Name],
+		}, c.now)
+	}
+	return out.Starts
+}
+
+// hold prolongs a lease as a server does.
+func (c *clerk) hold(name string, deadline int64) {
+	c.lease[name] = max(c.lease[name], min(deadline, c.clock()+longestLease.Milliseconds()))
+}
+
+// ends returns when the server's lease is over.
+func (c *clerk) ends(name string) time.Time {
+	return c.now.Add(time.Duration(float64(c.lease[name]-c.clock())/c.rate) * time.Millisecond)
+}
+
+func (c *clerk) pass(span time.Duration) {
+	for end := c.now.Add(span); c.now.Before(end); {
+		c.now = c.now.Add(50 * time.Millisecond)
+		for i := range c.servers {
+			c.servers[i].Seq++
+			c.p.Report(c.servers[i], c.now)
+		}
+		c.p.Tick(c.now)
+	}
+}
+
+func (c *clerk) ask(id, host string) {
+	c.p.Submit(Job{
+		ID: id, Host: host, Incarnation: 1, Service: "svc", Tasks: 1, Attempts: 3, Came: c.now,
+		Objective: time.Minute, Expires: time.Minute,
+		Demand: model.Demand{CPU: 100, MemoryMB: 1, Expected: 200 * time.Millisecond},
+	}, c.now)
+}
+
+// slowBound is how long a lease of waitTime lasts on a slow clock, and a rounding.
+const slowBound = waitTime*100/98 + 2*time.Millisecond
+
+// TestLeaseOfServer starts a task whose host waited some time ago. A server's lease
+// holds for everything on it and never gets shorter, so the task has the lease
+// that the server holds already.
+func TestLeaseOfServer(t *testing.T) {
+	tests := map[string]func(c *clerk) (server string){
+		"another host's run was prolonged there": func(c *clerk) string {
+			c.ask("k", "h1")
+			server := c.work(nil, nil)[0].Server.Name
+			c.pass(700 * time.Millisecond)
+			c.p.Waits("h1", c.now)
+			c.work(map[string][]Listed{server: {{Task: "k.0.0.0", Run: 1}}}, nil)
+			c.work(map[string][]Listed{server: {{Task: "k.0.0.0", Run: 1}}}, nil)
+			return server
+		},
+		"the end of another host's run was acknowledged there": func(c *clerk) string {
+			c.ask("k", "h1")
+			server := c.work(nil, nil)[0].Server.Name
+			c.pass(700 * time.Millisecond)
+			c.p.Waits("h1", c.now)
+			ended := map[string][]Ended{server: {{N: 1, Task: "k.0.0.0", Run: 1, How: HowDone}}}
+			for range 3 {
+				c.work(nil, ended)
+			}
+			return server
+		},
+		"nothing was there": func(c *clerk) string { c.pass(700 * time.Millisecond); return "a" },
+	}
+	for name, before := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newClerk(t, 1)
+			waited := c.now // of h2
+			before(c)
+			c.now = c.now.Add(50 * time.Millisecond)
+			c.ask("j", "h2")
+			for _, o := range c.work(nil, nil) {
+				if o.Task != "j.0.0.0" {
+					continue
+				}
+				if got := c.ends(o.Server.Name).Sub(waited); got > slowBound {
+					t.Fatalf("the run holds a lease until %v after its host waited, want %v at most", got, slowBound)
+				}
+			}
+		})
+	}
+}
+
+// TestLeaseAfterRest starts a task on a server whose slow clock wasn't read for a
+// while, since nothing ran there.
+func TestLeaseAfterRest(t *testing.T) {
+	for name, rest := range map[string]time.Duration{"at once": 0, "10 s": 10 * time.Second, "40 s": 40 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			c := newClerk(t, clockRate)
+			c.pass(rest)
+			c.p.Waits("h1", c.now)
+			waited := c.now
+			c.pass(700 * time.Millisecond)
+			c.ask("j", "h1")
+			o := c.work(nil, nil)[0]
+			if got := c.ends(o.Server.Name).Sub(waited); got > slowBound {
+				t.Fatalf("the run holds a lease until %v after its host waited, want %v at most", got, slowBound)
+			}
+		})
+	}
+}
+
+// TestWithdrawalsOfOneJob has a host withdraw a job twice. Its pulses may overtake
+// what travels on the reliable link.
+func TestWithdrawalsOfOneJob(t *testing.T) {
+	tests := map[string]struct {
+		hands []uint64 // of the withdrawals as they come
+		hand  uint64   // of the hand-over that comes then
+		taken bool
+	}{
+		"in order":                   {hands: []uint64{1, 2}, hand: 2},
+		"the earlier one comes late": {hands: []uint64{2, 1}, hand: 2},
+		"a third life":               {hands: []uint64{2, 1}, hand: 3, taken: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			for _, hand := range tt.hands {
+				d.p.Withdraw("j", "h1", hand, d.now)
+			}
+			d.p.Submit(Job{
+				ID: "j", Host: "h1", Hand: tt.hand, Service: "svc", Tasks: 1, Attempts: 3, Came: d.now, Objective: time.Minute, Expires: time.Minute,
+				Demand: model.Demand{CPU: 1000, MemoryMB: 1, Expected: 200 * time.Millisecond},
+			}, d.now)
+			if taken := len(d.drain().Starts) == 1; taken != tt.taken {
+				t.Fatalf("the job is started: %v, want %v", taken, tt.taken)
+			}
+		})
+	}
+}
+
+// TestHostsAreForgotten has a withdrawal come after its entry host was lost.
+func TestHostsAreForgotten(t *testing.T) {
+	d := newDesk(t)
+	d.p.HostLost("h1", 0, d.now)
+	d.p.HostLost("h2", 0, d.now)
+	d.p.Withdraw("j", "h1", 1, d.now)
+	for range 100 {
+		d.now = d.now.Add(100 * time.Millisecond)
+		d.p.Tick(d.now)
+	}
+	if len(d.p.hosts) > 0 {
+		t.Fatalf("%d entry hosts are remembered 10 s after they were lost", len(d.p.hosts))
+	}
+}
+
+// TestLateStart has a hand-over come some time after its entry host was killed. Its
+// task begins on a server that has just become empty and is then cut off. Its
+// caller comes back to another data centre.
+func TestLateStart(t *testing.T) {
+	const (
+		freed  = 540 * time.Millisecond // since the host was killed, when the server becomes empty
+		handed = 555 * time.Millisecond // when the hand-over arrives
+	)
+	for name, cut := range map[string]bool{"a stop arrives": false, "no stop arrives": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1, trouble{})
+			s := w.addServer("s", "a", 1)
+			w.addServerTo("other", "t", "a", 1)
+			placer, other := w.newPlacer(1), w.newPlacerIn("other", 1)
+			steady, killed := w.newHost("h1", placer), w.newHost("h2", placer)
+			job := func(id string) Job {
+				w.work[id] = 10 * time.Second
+				return Job{
+					ID: id, Service: "svc", Tasks: 1, Attempts: 3, Came: w.now, Objective: time.Minute, Expires: time.Minute,
+					Demand: model.Demand{CPU: 16000, MemoryMB: 64, Expected: 2 * time.Second},
+				}
+			}
+			w.run(time.Second)
+			steady.submit(job("k"))
+			w.run(5 * time.Millisecond)
+			killed.linkFree[placer] = w.now.Add(handed)
+			killed.submit(job("j"))
+			killed.lost = true
+			w.after(freed, func() { s.finish("k.0.0.0", HowDone) })
+			w.after(handed+20*time.Millisecond, func() { s.cut = cut })
+			w.after(resendTime, func() { w.newHost("h3", other).submit(job("j")) })
+			w.run(2 * time.Second)
+			if w.twice != "" {
+				t.Fatal(w.twice)
+			}
+		})
+	}
+}
--- a/runs/server.go
+++ b/runs/server.go
@@ -161,7 +161,7 @@
 	s.known = false
 	s.cursor, s.told, s.acked = 0, 0, 0
 	s.clock, s.lease, s.granted = 0, 0, 0
-	s.looking = 0
+	s.looking, s.looked = 0, p.seq // looks on their way may have reached the process before
 	s.health = health{}
 	p.event(Event{Kind: EventLost, Server: s.Name, Reason: "restarted"})
 }
@@ -208,7 +208,7 @@
 	if left <= 0 {
 		return 0
 	}
-	return s.clock + (now.Sub(s.clockAt) + left).Milliseconds()
+	return s.clockNow(now) + left.Milliseconds()
 }
 
 // short tells whether the lease of what runs on the server ends soon and may be
@@ -269,6 +269,10 @@
 		case r.state == stateStopping && !now.Before(r.stopAt):
 			p.sendStop(r, now)
 		case r.state == stateRunning && p.stands(r, now):
+			if r.task == nil {
+				p.stop(r, "claimed by no one", now)
+				continue
+			}
 			p.strike(s, "stands still", now)
 			p.stop(r, "stands still", now)
 		}
