Begin tasks only soon after their entry host was heard of

What callers saw: nothing yet; found in a review of the leases of waiting. A server's lease holds for everything on it and never gets shorter. A task whose entry host was heard of 0.8 s ago began on a server whose lease was prolonged for others, so it went on until 1.65 s after its own host was last known to wait, though its caller may send the job again after 1.3 s.

A task now begins only within 0.3 s of a word of its host, and leases are given for 0.85 s instead of 0.95; a placer asks hosts after 0.2 s without a word. runs.TestLeasesEndBeforeResends holds the sums.

With it, each found by the same review and with its test: a listed run of another number than the booked one is stopped; entry hosts are forgotten; messages of an entry host's process before don't end jobs of the present one.

Evidence: TestLeaseOfServer ("1.65s after its host waited, want 1.073s at most"), TestOtherRunOfBookedTask, TestHostsAreForgotten and TestFormerProcess failed before. TestLeaseAfterRest began its task 0.7 s after the last word of its host, which doesn't happen any more: it begins it after 0.3 s now, under the same bound.

--- a/placer/node.go
+++ b/placer/node.go
@@ -17,7 +17,7 @@
 	calmTick    = 60 * time.Millisecond  // while all goes well: less than a stop or a refused start is left alone
 	restTick    = 200 * time.Millisecond // while another host places: a fifth of earlyTime
 	hostSilence = 900 * time.Millisecond // without word that an entry host waits, until its jobs are withdrawn: a resend may come 1.3 s after the break
-	askAfter    = 400 * time.Millisecond // without such word, until the host is asked: two pulses
+	askAfter    = 200 * time.Millisecond // without such word, until the host is asked: its tasks begin soon after a word only
 	askSpacing  = 50 * time.Millisecond  // between two questions to a host
 	stateTime   = time.Second            // between two looks at the state: operators' systems read it less often
 	earlyTime   = time.Second            // for which jobs are kept that came before the placement was known
@@ -77,12 +77,13 @@
 // host is an entry host that sends jobs.
 type host struct {
 	incarnation uint64
-	since       time.Time // when this epoch first heard of its process
-	waited      time.Time // latest time at which it is known to have waited, zero for none
-	asked       time.Time // when a pulse was asked of it last
-	near        bool      // of this data centre, so that it keeps the table
-	has         uint64    // version of the table that the host has, 0 for none of this epoch
-	told        uint64    // and that it was sent
+	former      map[uint64]bool // processes before this one, whose messages come late
+	since       time.Time       // when this epoch first heard of its process
+	waited      time.Time       // latest time at which it is known to have waited, zero for none
+	asked       time.Time       // when a pulse was asked of it last
+	near        bool            // of this data centre, so that it keeps the table
+	has         uint64          // version of the table that the host has, 0 for none of this epoch
+	told        uint64          // and that it was sent
 }
 
 // silent tells whether the host isn't known to have waited lately.
@@ -275,7 +276,9 @@
 		}
 		return
 	}
-	n.alive(m.Host, m.Incarnation, now)
+	if !n.alive(m.Host, m.Incarnation, now) {
+		return
+	}
 	n.Hooks.Hand(m)
 	n.placer.Submit(runs.Job{
 		ID:          m.Job,
@@ -304,26 +307,33 @@
 }
 
 func (n *Node) withdraw(m msgs.JobWithdraw, now time.Time) {
-	if h := n.hosts[m.Host]; h != nil && h.incarnation != m.Incarnation {
-		return // another process of the host numbers its hand-overs anew
+	if n.placer == nil {
+		return
 	}
-	if n.placer != nil {
-		n.placer.Withdraw(m.Job, m.Host, m.Hand, now)
+	if h := n.hosts[m.Host]; h != nil && h.incarnation != m.Incarnation {
+		return // each process of the host numbers its hand-overs anew
 	}
+	n.alive(m.Host, m.Incarnation, now)
+	n.placer.Withdraw(m.Job, m.Host, m.Hand, now)
 }
 
 // alive notes that an entry host lives. Nobody waits for the jobs of its earlier
-// process.
-func (n *Node) alive(name string, incarnation uint64, now time.Time) {
+// processes. It returns false for a message of one of these.
+func (n *Node) alive(name string, incarnation uint64, now time.Time) bool {
 	h, ok := n.hosts[name]
 	if !ok {
-		h = &host{incarnation: incarnation, since: now}
+		h = &host{incarnation: incarnation, former: map[uint64]bool{}, since: now}
 		n.hosts[name] = h
 	}
+	if h.former[incarnation] {
+		return false
+	}
 	if h.incarnation != incarnation {
+		h.former[h.incarnation] = true
 		h.incarnation, h.since, h.waited = incarnation, now, time.Time{}
 		n.placer.HostLost(name, incarnation, now)
 	}
+	return true
 }
 
 // beat notes a report of a backend server.
--- a/placer/table.go
+++ b/placer/table.go
@@ -34,7 +34,9 @@
 		_ = n.Send(m.Host, msgs.ServiceEntry, msgs.Pulsed{Host: n.Self, Incarnation: n.Incarnation, Idle: n.latest.Epoch}) // the host asks again
 		return
 	}
-	n.alive(m.Host, m.Incarnation, now)
+	if !n.alive(m.Host, m.Incarnation, now) {
+		return
+	}
 	h := n.hosts[m.Host]
 	h.near = m.DataCentre == n.DataCentre
 	h.has = 0
--- /dev/null
+++ b/runs/bound_test.go
@@ -0,0 +1,28 @@
+package runs
+
+import (
+	"testing"
+	"time"
+)
+
+// TestLeasesEndBeforeResends holds the sums of times that keep a run from the next
+// life of its job: callers send it again retransmitTime after they lost it.
+func TestLeasesEndBeforeResends(t *testing.T) {
+	const retransmitTime = 1300 * time.Millisecond
+	slow := func(d time.Duration) time.Duration { return time.Duration(float64(d) / clockRate) }
+	tests := map[string]time.Duration{
+		"a run that begins on a server with a full lease":          freshTime + slow(leaseTime),
+		"a run whose lease is prolonged":                           slow(waitTime),
+		"a run whose host is told of the next placer just in time": slow(waitTime) + leaseSlack,
+	}
+	for name, most := range tests {
+		t.Run(name, func(t *testing.T) {
+			if most >= retransmitTime {
+				t.Fatalf("it may go on for %v after its entry host waited, want less than %v", most, retransmitTime)
+			}
+		})
+	}
+	if slow(waitTime) > settleTime {
+		t.Errorf("jobs of an earlier placer go on after %v, and its leases for %v", settleTime, slow(waitTime))
+	}
+}
--- a/runs/look.go
+++ b/runs/look.go
@@ -74,7 +74,11 @@
 			p.stray(s, a, first, now)
 			continue
 		}
-		if r.number == a.Run && (r.state == stateStarting || r.state == stateDoubtful) {
+		if r.number != a.Run {
+			p.besides(s, a)
+			continue
+		}
+		if r.state == stateStarting || r.state == stateDoubtful {
 			r.state, r.began = stateRunning, now // the answer to its start is late
 		}
 	}
@@ -90,6 +94,13 @@
 	}
 }
 
+// besides stops a run that is listed where another one of its task is booked, as
+// after a restart of the server that let a late start in.
+func (p *Placer) besides(s *server, a Listed) {
+	p.event(Event{Kind: EventBesides, Job: jobOf(a.Task), Task: a.Task, Run: a.Run, Server: s.Name})
+	p.out.Stops = append(p.out.Stops, Stop{Server: s.Server, Task: a.Task, Run: a.Run, Fence: p.epoch})
+}
+
 // stray books a run that no job here knows of. On the first look it may belong
 // to a job that an entry host is about to hand over; later it is stopped.
 func (p *Placer) stray(s *server, a Listed, first bool, now time.Time) {
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	leaseTime    = 950 * time.Millisecond  // given with each order: servers cut a lease at longestLease
+	leaseTime    = 850 * time.Millisecond  // given with each order: after freshTime it ends before waitTime, nearly
 	longestLease = 1000 * time.Millisecond // that an earlier placer may have given
 	leastLease   = 250 * time.Millisecond  // that a task begins with: pulses and looks prolong it within that
 	leaseSlack   = 30 * time.Millisecond   // added before a lease counts as over, for rounding and late timers
@@ -220,9 +220,7 @@
 	}
 	p.expire(now)
 	maps.DeleteFunc(p.ended, func(_ string, e endedJob) bool { return now.Sub(e.at) > endedMemory })
-	for _, h := range p.hosts {
-		maps.DeleteFunc(h.withdrawn, func(_ string, w withdrawal) bool { return now.Sub(w.at) > withdrawMemory })
-	}
+	p.forgetHosts(now)
 	maps.DeleteFunc(p.found, func(_ string, e foundEnd) bool { return now.Sub(e.at) > endedMemory })
 }
 
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -76,7 +76,7 @@
 
 // place starts what it can of a job's waiting tasks.
 func (p *Placer) place(j *job, now time.Time) {
-	if j.until().Sub(now) < leastLease {
+	if now.Sub(j.heard()) > freshTime {
 		return // nobody is known to wait for it
 	}
 	for i := range j.tasks {
--- a/runs/wait.go
+++ b/runs/wait.go
@@ -1,12 +1,15 @@
 package runs
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
 
 const (
 	waitTime       = 1050 * time.Millisecond // since an entry host is known to have waited, for which its runs may hold a lease: on a slow clock too it ends 0.2 s before a caller sends a job again
+	freshTime      = 300 * time.Millisecond  // since an entry host is known to have waited, in which tasks of its jobs begin: what a server runs shares its lease, so the run may have leaseTime at once
+	hostMemory     = 10 * time.Second        // for which an entry host that isn't heard of is remembered
 	withdrawMemory = 3 * time.Second         // for which a withdrawal is remembered: the hand-over may still be on its way
 )
 
@@ -94,19 +97,35 @@
 	}
 }
 
-// until returns when the leases of the job's runs have to end, unless one of its
-// entry hosts is heard of.
-func (j *job) until() time.Time {
+// heard returns when one of the job's entry hosts is last known to have waited.
+func (j *job) heard() time.Time {
 	var last time.Time
 	for _, w := range j.waiters {
 		if w.waited.After(last) {
 			last = w.waited
 		}
 	}
-	if last.IsZero() {
-		return last
+	return last
+}
+
+// until returns when the leases of the job's runs have to end, unless one of its
+// entry hosts is heard of.
+func (j *job) until() time.Time {
+	heard := j.heard()
+	if heard.IsZero() {
+		return heard
+	}
+	return heard.Add(waitTime)
+}
+
+// forgetHosts drops withdrawals and entry hosts of which nothing is left to know.
+func (p *Placer) forgetHosts(now time.Time) {
+	for name, h := range p.hosts {
+		maps.DeleteFunc(h.withdrawn, func(_ string, w withdrawal) bool { return now.Sub(w.at) > withdrawMemory })
+		if len(h.withdrawn) == 0 && now.Sub(h.waited) > hostMemory {
+			delete(p.hosts, name)
+		}
 	}
-	return last.Add(waitTime)
 }
 
 // until returns when the run's lease has to end.
--- a/runs/world_host_test.go
+++ b/runs/world_host_test.go
@@ -8,6 +8,8 @@
 
 const (
 	pulseEvery  = 200 * time.Millisecond
+	askAfter    = 200 * time.Millisecond  // without word of a host, until it is asked for a pulse
+	askSpacing  = 50 * time.Millisecond   // between two questions
 	hostSilence = 900 * time.Millisecond  // after which a placer takes an entry host for lost
 	resendTime  = 1300 * time.Millisecond // from a broken connection until the caller sends its job again
 	linkOutage  = 1500 * time.Millisecond // most for which a link repeats what it carries
@@ -134,6 +136,23 @@
 	}
 }
 
+// askHosts asks those for a pulse that weren't heard of lately.
+func (sp *simPlacer) askHosts() {
+	now := sp.w.now
+	for _, name := range slices.Sorted(maps.Keys(sp.waited)) {
+		if now.Sub(sp.waited[name]) <= askAfter || now.Sub(sp.asked[name]) < askSpacing {
+			continue
+		}
+		sp.asked[name] = now
+		if h := sp.w.hosts[name]; h.placer == sp && !sp.w.chance(sp.w.trouble.lost) {
+			sp.w.after(sp.w.delay(), func() {
+				h.stamps[sp] = now
+				h.pulse(sp)
+			})
+		}
+	}
+}
+
 func (sp *simPlacer) loseHosts() {
 	for _, name := range slices.Sorted(maps.Keys(sp.waited)) {
 		if sp.w.now.Sub(sp.waited[name]) > hostSilence {
