Let copies of a job follow each other to another data centre

What callers saw: a task ran in two data centres at once, with no host lost. When connections are reset, a caller's job may be open at two entry hosts of a data centre. The placer refused the first copy for its load, so its host handed it to another data centre; then a server became free, and it took the second copy.

Cause: an id under two data centres, and a refusal that is forgotten at once though it is what sends a job away.

A placer now remembers whom it has refused a job for as long as its caller may wait. A copy from another entry host is refused as well, so it takes the same way and finds the first one; when all data centres have refused it, its own takes it, as before.

Evidence: TestCopiesInTwoDataCentres failed before ("the second copy is started: true, want false").

--- a/runs/admit.go
+++ b/runs/admit.go
@@ -15,6 +15,9 @@
 	if j.Again || p.left(j) {
 		return ""
 	}
+	if p.isAway(j, now) {
+		return "another entry host may have handed it to another data centre"
+	}
 	limit, reason := j.useful(), "the work ahead of it takes too long"
 	if j.Strict {
 		limit, reason = j.Objective-j.Demand.Expected, "the work ahead of it takes too long for its objective"
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -39,8 +39,9 @@
 	loose       map[string][]*run   // runs that no job holds and that haven't ended, by task
 	found       map[string]foundEnd // what is known of ended runs that no job held, by task
 	speeds      speeds
-	unsureUntil time.Time        // orders got no answer lately
-	full        map[string]int64 // least processor time of a task that found no room now, by service
+	unsureUntil time.Time          // orders got no answer lately
+	away        map[string]awayJob // refused lately, by id
+	full        map[string]int64   // least processor time of a task that found no room now, by service
 	seq         uint64
 	out         Output
 }
@@ -92,6 +93,7 @@
 		hosts:   map[string]*entryHost{},
 		loose:   map[string][]*run{},
 		found:   map[string]foundEnd{},
+		away:    map[string]awayJob{},
 		speeds:  newSpeeds(),
 	}
 }
@@ -141,6 +143,7 @@
 		return
 	}
 	p.jobs[j.ID] = k
+	delete(p.away, j.ID)
 	if !p.claim(k, now) {
 		return
 	}
@@ -196,6 +199,9 @@
 		e.Host = w.host
 		p.out.Ends = append(p.out.Ends, e)
 	}
+	if state == model.JobEndRefused {
+		p.sendAway(j)
+	}
 	if state == model.JobEndComplete || state == model.JobEndFailed {
 		p.ended[j.ID] = endedJob{state: state, at: now}
 	}
@@ -221,6 +227,7 @@
 	p.expire(now)
 	maps.DeleteFunc(p.ended, func(_ string, e endedJob) bool { return now.Sub(e.at) > endedMemory })
 	p.forgetHosts(now)
+	maps.DeleteFunc(p.away, func(_ string, a awayJob) bool { return !now.Before(a.until) })
 	maps.DeleteFunc(p.found, func(_ string, e foundEnd) bool { return now.Sub(e.at) > endedMemory })
 }
 
--- a/runs/resend_test.go
+++ b/runs/resend_test.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -269,3 +270,68 @@
 		})
 	}
 }
+
+// TestCopiesInTwoDataCentres has a job come from two entry hosts at once, as its
+// caller's connection was reset. The first copy is refused for the load, so its
+// host hands it to another data centre.
+func TestCopiesInTwoDataCentres(t *testing.T) {
+	tests := map[string]struct {
+		host   string        // of the second copy
+		later  time.Duration // after the first
+		loose  bool          // it isn't strict: the other data centres have refused it
+		starts bool
+	}{
+		"from another host":                          {host: "h2"},
+		"from another host, refused elsewhere":       {host: "h2", loose: true, starts: true},
+		"from the same host, refused elsewhere":      {host: "h1", loose: true, starts: true},
+		"after the time of the first copy's caller":  {host: "h2", later: 1500 * time.Millisecond, starts: true},
+		"from the same host, whose caller came back": {host: "h1", later: 1300 * time.Millisecond, starts: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			busy := map[string]string{d.begin("k1"): "k1", d.begin("k2"): "k2"}
+			for i := range 8 {
+				d.submit(fmt.Sprintf("w%d", i), "h1")
+			}
+			d.submit("j", "h1")
+			refused := false
+			for _, e := range d.drain().Ends {
+				refused = refused || e.Job == "j" && e.State == model.JobEndRefused
+			}
+			if !refused {
+				t.Fatal("the first copy isn't refused")
+			}
+			for i := range 8 {
+				d.p.Withdraw(fmt.Sprintf("w%d", i), "h1", 0, d.now)
+			}
+			d.drain()
+			for server, id := range busy {
+				d.look(server, nil, []Ended{{N: 1, Task: id + ".0.0.0", Run: 1, How: HowDone}})
+			}
+			d.drain()
+			d.now = d.now.Add(tt.later)
+			d.p.Waits(tt.host, d.now)
+			for i := range d.servers {
+				d.servers[i].Seq++
+				d.p.Report(d.servers[i], d.now)
+			}
+			d.p.Submit(Job{
+				ID: "j", Host: tt.host, Incarnation: 1, Hand: 9, Service: "svc", Tasks: 1, Attempts: 3, Came: d.now, Strict: !tt.loose,
+				Objective: 400 * time.Millisecond, Expires: 1500 * time.Millisecond,
+				Demand: model.Demand{CPU: 1000, MemoryMB: 1, Expected: 200 * time.Millisecond},
+			}, d.now)
+			for range 3 {
+				for _, o := range d.drain().Looks {
+					d.look(o.Server.Name, nil, nil)
+				}
+				if len(d.out.Starts) > 0 {
+					break
+				}
+			}
+			if starts := len(d.out.Starts) == 1; starts != tt.starts {
+				t.Fatalf("the second copy is started: %v, want %v (%+v)", starts, tt.starts, d.out.Ends)
+			}
+		})
+	}
+}
