Give no lease to a server on which nothing runs

What callers saw: nothing yet; found in a review.

Evidence: TestLateStart failed before: a task ran in two data centres at once after its entry host was killed and its server cut off. TestLeaseOfServer still fails in the case of another host's run that was prolonged there.

--- a/runs/server.go
+++ b/runs/server.go
@@ -190,7 +190,7 @@
 }
 
 // grant returns the end of a lease given now, 0 for none: the clock isn't known,
-// or something runs there that nobody is known to wait for.
+// nothing runs there, or something that nobody is known to wait for.
 func (s *server) grant(now time.Time) int64 {
 	end := s.grantable(now)
 	if end <= 0 {
@@ -201,7 +201,7 @@
 }
 
 func (s *server) grantable(now time.Time) int64 {
-	if s.clock == 0 {
+	if s.clock == 0 || len(s.runs) == 0 {
 		return 0
 	}
 	left := s.until(now.Add(leaseTime)).Sub(now)
