Play entry hosts that are killed before they withdraw a job

In the simulation every entry host withdrew its job when the caller's connection broke, and the withdrawal of one that was lost at that moment arrived all the same. So a placer was always told, at once where no message gets lost; that it finds out by silence was not played.

--- a/runs/world_host_test.go
+++ b/runs/world_host_test.go
@@ -169,8 +169,9 @@
 		if _, open := h.open[j.ID]; !open {
 			return
 		}
-		h.withdraw(j.ID)
-		h.lost = w.chance(0.7)
+		if h.lost = w.chance(0.7); !h.lost {
+			h.withdraw(j.ID)
+		}
 		w.after(resendTime, func() {
 			all := placers()
 			j := j
