Say which table a host has only with the table

The next placer began with 2 of 20 servers, and took them for all that the one before had used.

Cause: since tables go to hosts of the own data centre only, the answer to a host that had only handed a job over yet named the table's version without its servers. The host took that for a whole table.

--- a/msgs/fleet.go
+++ b/msgs/fleet.go
@@ -95,7 +95,7 @@
 	Incarnation uint64         // of the process
 	Epoch       uint64         // 0 when the host places for no data centre
 	Idle        uint64         // placement up to which this host doesn't place, when Epoch is 0
-	Servers     uint64         // version of the table of backend servers
+	Servers     uint64         // version of the table of backend servers, 0 for a host that keeps none
 	Since       uint64         // version that Table begins from, 0 for a whole table
 	Table       []model.Server // that changed after Since
 	Stamp       time.Duration  // of the placer's steady clock, since its process began
--- a/placer/table.go
+++ b/placer/table.go
@@ -98,18 +98,20 @@
 // with a stamp to return.
 func (n *Node) tell(name string, h *host, now time.Time) {
 	reply := msgs.Pulsed{
-		Host: n.Self, Incarnation: n.Incarnation, Epoch: n.placer.Epoch(), Servers: n.version, Since: h.has,
-		Stamp: now.Sub(n.began), Ask: h.toAsk(now),
+		Host: n.Self, Incarnation: n.Incarnation, Epoch: n.placer.Epoch(), Stamp: now.Sub(n.began), Ask: h.toAsk(now),
 	}
 	if reply.Ask {
 		h.asked = now
 	}
-	for _, c := range n.changed {
-		if h.near && c.version > h.has {
-			reply.Table = append(reply.Table, c.server)
+	if h.near {
+		h.told = n.version
+		reply.Servers, reply.Since = n.version, h.has
+		for _, c := range n.changed {
+			if c.version > h.has {
+				reply.Table = append(reply.Table, c.server)
+			}
 		}
 	}
-	h.told = n.version
 	_ = n.Send(name, msgs.ServiceEntry, reply) // the host asks again
 }
 
--- a/placer/waiting_test.go
+++ b/placer/waiting_test.go
@@ -229,3 +229,33 @@
 		})
 	}
 }
+
+// TestTableIsWhole has the placer answer an entry host. What it says to be its
+// table has to be all of it, since the host may place next.
+func TestTableIsWhole(t *testing.T) {
+	tests := map[string]struct {
+		act  func(w *waiting)
+		told uint64 // version of the table, 0 for none
+	}{
+		"a pulse":                        {act: func(w *waiting) { w.hear(waitEpoch, 0) }, told: 2},
+		"a hand-over of an unknown host": {act: func(w *waiting) { w.take(1) }},
+		"a hand-over, then a pulse":      {act: func(w *waiting) { w.take(1); w.hear(waitEpoch, 0) }, told: 2},
+		"a pulse of another data centre": {act: func(w *waiting) {
+			w.pulse(msgs.Pulse{Host: "h1", DataCentre: "other", Incarnation: 1}, w.now)
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWaiting()
+			w.beat(model.Server{Name: "s", DataCentre: "dc", Service: "svc", CPU: 100, Born: 1, Seq: 1}, w.now)
+			tt.act(w)
+			last := w.told[len(w.told)-1]
+			if last.Servers != tt.told {
+				t.Fatalf("version %d is told, want %d", last.Servers, tt.told)
+			}
+			if tt.told > 0 && len(last.Table) != 1 {
+				t.Fatalf("%d servers are told, want 1", len(last.Table))
+			}
+		})
+	}
+}
