Let a new group decide only once a majority holds to it

What callers saw: a system that starts for the first time acknowledges no configuration, for good.

Cause: a generation that begins is tentative until its members hear that a majority acknowledged the primary; a member that hears nothing for an election timeout forgets it and begins again. The primary, though, led from the first acknowledgements on, and proposed an entry before the backups had heard. When the message with that entry was late by an election timeout (350 to 525 ms), as by a slow sync of the entry or a cut, all backups forgot the generation. The primary held an entry that it could neither commit nor give up, and the others wait for it, since it has a generation: nobody leads ever again.

Change: an acknowledgement tells whether its sender still takes the generation for tentative, and a primary leads once a majority has told that it doesn't. It tells them at once, so a first start takes one exchange more.

--- a/quorum/backup.go
+++ b/quorum/backup.go
@@ -89,6 +89,8 @@
 		View: r.view,
 		Op:   r.log.last(),
 		Sent: r.backup.sent,
+
+		Tentative: r.recovery.tentative,
 	}
 	if r.probation {
 		m.Op, m.Sent = r.provenOp(), 0
--- /dev/null
+++ b/quorum/founding_test.go
@@ -0,0 +1,80 @@
+package quorum
+
+import "testing"
+
+// foundingTests are disturbances of a group that begins. They end after a
+// second, and the group has lost nothing.
+var foundingTests = map[string]struct {
+	members int
+	disturb func(w *world, h *host)
+}{
+	"nothing happens":                   {members: 3, disturb: func(*world, *host) {}},
+	"a host is cut off":                 {members: 3, disturb: func(w *world, h *host) { w.isolate(h) }},
+	"a host hears only":                 {members: 3, disturb: func(w *world, h *host) { w.cut(h, true, false, -1) }},
+	"a host is not heard by one":        {members: 3, disturb: func(w *world, h *host) { w.cut(h, true, false, (h.slot+1)%3) }},
+	"a host stands still":               {members: 3, disturb: func(w *world, h *host) { h.thaw = w.at + 900 }},
+	"a host of five is cut off":         {members: 5, disturb: func(w *world, h *host) { w.isolate(h) }},
+	"a host of five is heard by one":    {members: 5, disturb: func(w *world, h *host) { w.cut(h, true, false, (h.slot+1)%5) }},
+	"all are cut off from one another":  {members: 3, disturb: func(w *world, _ *host) { w.isolateAll() }},
+	"five are cut off from one another": {members: 5, disturb: func(w *world, _ *host) { w.isolateAll() }},
+}
+
+func (w *world) isolateAll() {
+	for _, h := range w.hosts {
+		w.isolate(h)
+	}
+}
+
+// proposeToLeader has whoever leads propose an entry.
+func (w *world) proposeToLeader() {
+	if l := w.leader(); l != nil {
+		_ = w.propose(l)
+	}
+}
+
+// TestFoundingInterrupted disturbs the first leader before it proposes its first
+// entry, or any host at any moment of the first exchange of messages.
+func TestFoundingInterrupted(t *testing.T) {
+	const atLeader, first, last = -1, 40, 70 // milliseconds between which the generation begins
+	moments := []int64{atLeader}
+	for ms := int64(first); ms < last; ms++ {
+		moments = append(moments, ms)
+	}
+	for name, tt := range foundingTests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed, moment := range moments {
+				cfg := testConfig(tt.members)
+				cfg.Durable = true
+				w := newWorld(uint64(seed), cfg)
+				for _, h := range w.hosts {
+					h.start()
+				}
+				h := w.hosts[w.rng.IntN(len(w.hosts))]
+				if moment == atLeader {
+					h = w.firstLeader(t)
+				} else {
+					w.run(moment, w.proposeToLeader)
+				}
+				tt.disturb(w, h)
+				w.proposeToLeader()
+				w.run(1_000, w.proposeToLeader)
+				w.settle()
+				if len(w.found) > 0 {
+					t.Errorf("seed %d, disturbed at %d ms: %s", seed, moment, w.found[0])
+				}
+			}
+		})
+	}
+}
+
+// firstLeader waits until a host leads.
+func (w *world) firstLeader(t *testing.T) *host {
+	for w.leader() == nil {
+		w.run(1, nil)
+		if w.at > 5_000 {
+			t.Fatal("no leader")
+		}
+	}
+	return w.leader()
+}
--- a/quorum/lease.go
+++ b/quorum/lease.go
@@ -22,7 +22,10 @@
 		}
 		if r.group.quorum(has) {
 			r.primary.lease = max(r.primary.lease, t+r.cfg.Lease)
-			r.recovery.tentative = false
+			if r.recovery.tentative {
+				r.recovery.tentative = false
+				r.primary.due = true // the backups have to know
+			}
 			return
 		}
 	}
@@ -34,9 +37,10 @@
 }
 
 // leadingAt tells whether the replica may decide at a time: it has the lease
-// and knows that all entries of earlier views are committed.
+// and knows that all entries of earlier views are committed and that a majority
+// holds to the generation.
 func (r *Replica) leadingAt(t time.Duration) bool {
-	return r.leasingAt(t) && r.commit >= r.primary.start
+	return r.leasingAt(t) && r.primary.firm && r.commit >= r.primary.start
 }
 
 // countCurrent returns how many members, with the primary itself, have
@@ -66,7 +70,7 @@
 		due:      true,
 	}
 	if r.group.quorum(func(name string) bool { return name == r.name }) {
-		r.primary.lease = math.MaxInt64 / 2
+		r.primary.lease, r.primary.firm = math.MaxInt64/2, true
 	}
 	r.tryCommit()
 }
--- a/quorum/message.go
+++ b/quorum/message.go
@@ -23,7 +23,7 @@
 // Generation and Epoch; the other fields depend on the kind:
 //
 //	Prepare           View Op Commit Entries Sent Tentative
-//	PrepareOK         View Op Sent
+//	PrepareOK         View Op Sent Tentative
 //	StartViewChange   View Normal Members
 //	DoViewChange      View Normal Op Commit Incarnations Members
 //	Handover          View Normal
@@ -44,7 +44,7 @@
 	Epoch        uint64 // op of the latest committed replacement, 0 when there was none
 	View         uint64
 	Normal       uint64 // view in which the sender's log last took part
-	Tentative    bool   // the generation may still fail to begin
+	Tentative    bool   // the sender knows that the generation may still fail to begin
 	Primary      bool   // the sender is the primary of its view
 	Op           uint64
 	Commit       uint64
--- a/quorum/primary.go
+++ b/quorum/primary.go
@@ -14,6 +14,7 @@
 	beat     time.Duration  // when the last message was sent to all backups
 	due      bool           // whether a heartbeat has to go out at once
 	lease    time.Duration  // end of the lease
+	firm     bool           // whether a majority knows that the generation has begun, and won't forget it
 	retired  bool           // no longer decides in this view
 	learner  learner
 }
@@ -22,6 +23,7 @@
 type ack struct {
 	op   uint64
 	sent time.Duration // when the acknowledged message was sent
+	firm bool          // whether the host has known that the generation has begun
 }
 
 // Propose adds a command to the log and returns its op. It returns a
@@ -109,11 +111,20 @@
 		return
 	}
 	a := r.primary.acks[m.From]
-	r.primary.acks[m.From] = ack{op: max(a.op, m.Op), sent: max(a.sent, m.Sent)}
+	r.primary.acks[m.From] = ack{op: max(a.op, m.Op), sent: max(a.sent, m.Sent), firm: a.firm || !m.Tentative}
 	r.renewLease()
+	r.confirm()
 	r.tryCommit()
 }
 
+// confirm notes when a majority knows that the generation has begun. Before
+// that, the backups may forget it and leave the primary alone with an entry that
+// only it holds, which it can neither commit nor give up.
+func (r *Replica) confirm() {
+	firm := func(name string) bool { return name == r.name || r.primary.acks[name].firm }
+	r.primary.firm = r.primary.firm || (!r.recovery.tentative && r.group.quorum(firm))
+}
+
 // tryCommit commits what enough hosts hold.
 func (r *Replica) tryCommit() {
 	for _, op := range r.heldOps() {
