Give each site of the soak addresses that no other has

Cause: the addresses follow from the seed alone, so two processes that play the same seed take the same ones.

Evidence: two processes that ran TestSeeds at once: one failed with "listen tcp 127.3.1.9:21040: bind: address already in use".

Change: a site holds a listener that marks its network while it is played, and takes the next network when that of its seed is taken. What is drawn from the seed is the same, and so are the addresses of a site that is alone. The test for it has nothing to call before the change.

--- a/soak/site.go
+++ b/soak/site.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,10 @@
 	clients      = 6
 	recovery     = 12 * time.Second // after the last fault, in which the system serves again
 	leastServed  = 0.9              // of the jobs after that
+
+	firstNet    = 2     // second number of a site's addresses
+	nets        = 90    // sites at a time
+	reservePort = 20999 // below those of all sites
 )
 
 // Site is a system under faults.
@@ -61,7 +66,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.rng = rand.New(rand.NewPCG(s.Seed, 7))
-	s.base, s.net = 21000+int(s.Seed%300)*40, 2+int(s.Seed%90)
+	s.base = 21000 + int(s.Seed%300)*40
+	reserved, err := s.reserveNet(ctx)
+	if err != nil {
+		return s.report, err
+	}
+	defer func() { _ = reserved.Close() }()
 	s.failures = make(chan string, 1024)
 	if err := s.begin(ctx); err != nil {
 		return s.report, err
@@ -83,6 +93,22 @@
 	return s.report, nil
 }
 
+// reserveNet chooses the second number of the addresses: that of the seed, or the
+// next one that no other site has, in this process or another one, until the
+// listener is closed.
+func (s *Site) reserveNet(ctx context.Context) (net.Listener, error) {
+	var taken error
+	for i := range uint64(nets) {
+		s.net = firstNet + int((s.Seed+i)%nets)
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", mimic.Address(fmt.Sprintf("127.%d.255.1", s.net), reservePort))
+		if err == nil {
+			return l, nil
+		}
+		taken = err
+	}
+	return nil, fmt.Errorf("no addresses for seed %d: %w", s.Seed, taken)
+}
+
 func (s *Site) begin(ctx context.Context) error {
 	for zone := range zones {
 		s.controls = append(s.controls, mimic.Address(fmt.Sprintf("127.%d.%d.9", s.net, zone+1), s.base+20))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -87,3 +87,31 @@
 		})
 	}
 }
+
+// TestReserveNet has sites exist at the same time.
+func TestReserveNet(t *testing.T) {
+	tests := map[string][]uint64{ // seeds
+		"different seeds":                   {71, 72},
+		"the same seed":                     {71, 71, 71},
+		"the same seed as one and the next": {71, 72, 71},
+		"the last seed of a round, twice":   {nets - 1, nets - 1},
+		"seeds with the same first choice":  {5, 5 + nets},
+	}
+	for name, seeds := range tests {
+		t.Run(name, func(t *testing.T) {
+			used := map[int]bool{}
+			for _, seed := range seeds {
+				s := &Site{Seed: seed}
+				l, err := s.reserveNet(t.Context())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = l.Close() }()
+				if used[s.net] || s.net < firstNet || s.net >= firstNet+nets {
+					t.Errorf("seed %d has addresses %d beside %v", seed, s.net, used)
+				}
+				used[s.net] = true
+			}
+		})
+	}
+}
