Ask for the members when a primary told the whole log unasked

What callers saw: a host of the core that lost its disk doesn't come back, for as long as the same host leads. The next loss of a disk is then one too many, and the core answers nothing until an operator comes.

When a primary that has just been elected sent it the whole log, as it does to all after a restart of the group, the host asked for what comes after that. The answers never told the members, and each counted as a sign that the fetch goes on.

Change: while the members are unknown the host asks from the begin of the log.

--- a/quorum/fetch.go
+++ b/quorum/fetch.go
@@ -131,10 +131,13 @@
 // learn the members too.
 func (r *Replica) fetchComplete() bool {
 	f := r.fetch
-	if r.status == statusRecovering && f.snapshot == nil && f.genesis == nil {
-		return false
-	}
-	return f.end() >= f.target && f.part.data == nil
+	return !r.lacksMembers() && f.end() >= f.target && f.part.data == nil
+}
+
+// lacksMembers tells whether a replica without memory has yet to learn the
+// members, which only the answer for the begin of the log tells.
+func (r *Replica) lacksMembers() bool {
+	return r.status == statusRecovering && r.fetch.snapshot == nil && r.fetch.genesis == nil
 }
 
 // tickFetch repeats a request that wasn't answered.
@@ -144,10 +147,14 @@
 		return
 	}
 	f.asked = r.now
+	op := f.end()
+	if r.lacksMembers() {
+		op = 0
+	}
 	r.send(f.source, Message{
 		Kind:   KindGetState,
 		View:   r.view,
-		Op:     f.end(),
+		Op:     op,
 		Base:   f.part.op,
 		Offset: len(f.part.data),
 		Nonce:  f.nonce,
--- a/quorum/recovery_test.go
+++ b/quorum/recovery_test.go
@@ -43,3 +43,43 @@
 		})
 	}
 }
+
+// TestRecoveryDuringElection restarts a whole group, one member of it without its
+// disk. That member is cut off from the old primary while it fetches the log, and
+// the new one tells it the log unasked. It has to learn the members all the same.
+func TestRecoveryDuringElection(t *testing.T) {
+	tests := map[string]struct{ entries int }{
+		"no entry":                      {},
+		"a log that fits a message":     {entries: 11},
+		"a log of several messages":     {entries: 40},
+		"a log that begins by snapshot": {entries: 150},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				cfg := testConfig(3)
+				cfg.Durable = true
+				w := newWorld(seed, cfg)
+				w.startAll()
+				w.proposeMany(tt.entries)
+				w.run(200, nil)
+				for _, h := range w.hosts {
+					h.up = false
+				}
+				old, lost := w.find("a"), w.find("c")
+				lost.synced = Saved{}
+				for _, h := range w.hosts {
+					h.start()
+				}
+				for lost.r.fetch == nil && w.at < 5_000 {
+					w.run(1, nil)
+				}
+				w.cut(old, true, true, w.find("b").slot)
+				w.run(3_000, nil)
+				if n := len(w.voting()); n != 3 || len(w.found) > 0 {
+					t.Errorf("seed %d: %d members vote, %v", seed, n, w.found)
+				}
+			}
+		})
+	}
+}
