Let a placer come to a new leader of the core before it is superseded

Cause: the leader of the core was frozen. The next one decides 0.22 s after its election about hosts that follow the old one for 0.5 s; a placer that had not renewed by then counted as lost, and whoever had renewed took its place. Which hosts those are is chance.

Such a placer now counts as silent only after the time for any placer, 0.8 s, or 0.3 s when others of its data centre can't reach it. One that was restarted renews as another process and is replaced at once, as before.

--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -27,18 +27,18 @@
 type Watch struct {
 	since    time.Time
 	hosts    map[string]*watched
+	suspects map[string]time.Time // when another host of its data centre couldn't reach a host
 	proposed map[string]time.Time // by data centre
 }
 
 type watched struct {
-	renew     msgs.HostRenew
-	seen      time.Time
-	suspected time.Time
+	renew msgs.HostRenew
+	seen  time.Time
 }
 
 // NewWatch returns the view of a host that leads since now.
 func NewWatch(now time.Time) *Watch {
-	return &Watch{since: now, hosts: map[string]*watched{}, proposed: map[string]time.Time{}}
+	return &Watch{since: now, hosts: map[string]*watched{}, suspects: map[string]time.Time{}, proposed: map[string]time.Time{}}
 }
 
 // Renew notes that a host lives.
@@ -49,8 +49,8 @@
 		w.hosts[m.Host] = h
 	}
 	h.renew, h.seen = m, now
-	if s, ok := w.hosts[m.Suspect]; ok && s.renew.DataCentre == m.DataCentre {
-		s.suspected = now
+	if s, ok := w.hosts[m.Suspect]; m.Suspect != "" && (!ok || s.renew.DataCentre == m.DataCentre) {
+		w.suspects[m.Suspect] = now
 	}
 }
 
@@ -115,14 +115,18 @@
 	return changes
 }
 
-// fit tells whether a placer may go on.
+// fit tells whether a placer may go on. One that has not come to this leader yet
+// may still follow the one before.
 func (w *Watch) fit(p model.Placement, now time.Time) bool {
-	h, ok := w.hosts[p.Host]
-	if !ok || h.renew.Incarnation != p.Incarnation || h.renew.Leaving {
-		return false
+	seen := w.since
+	if h, ok := w.hosts[p.Host]; ok {
+		if h.renew.Incarnation != p.Incarnation || h.renew.Leaving {
+			return false
+		}
+		seen = h.seen
 	}
-	silent := now.Sub(h.seen)
-	if now.Sub(h.suspected) < suspectFor && silent > suspectSilence {
+	silent := now.Sub(seen)
+	if now.Sub(w.suspects[p.Host]) < suspectFor && silent > suspectSilence {
 		return false
 	}
 	return silent <= placerSilence
@@ -162,4 +166,5 @@
 
 func (w *Watch) forget(now time.Time) {
 	maps.DeleteFunc(w.hosts, func(_ string, h *watched) bool { return now.Sub(h.seen) > forgetAfter })
+	maps.DeleteFunc(w.suspects, func(_ string, at time.Time) bool { return now.Sub(at) > suspectFor })
 }
--- a/fleet/watch_test.go
+++ b/fleet/watch_test.go
@@ -55,7 +55,10 @@
 		"a host with the table of servers goes before one with more processor time": {
 			steps: slices.Concat(renewals(0, 2*time.Second, host("h2", 300)), renewals(0, 2*time.Second, hasTable)), current: placed, at: 2 * time.Second, want: "h3",
 		},
-		"nobody is there to take over": {steps: renewals(0, time.Second, host("h1", 900)), current: placed, at: 3 * time.Second},
+		"a placer that follows the leader before":       {steps: renewals(0, 700*time.Millisecond, host("h2", 300)), current: placed, at: 700 * time.Millisecond},
+		"one that doesn't come to the new leader":       {steps: renewals(0, 900*time.Millisecond, host("h2", 300)), current: placed, at: 900 * time.Millisecond, want: "h2"},
+		"one that doesn't come, and others can't reach": {steps: renewals(0, 400*time.Millisecond, suspects), current: placed, at: 400 * time.Millisecond, want: "h2"},
+		"nobody is there to take over":                  {steps: renewals(0, time.Second, host("h1", 900)), current: placed, at: 3 * time.Second},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
