--- a/runs/doc.go
+++ b/runs/doc.go
@@ -12,11 +12,21 @@
 // when its last run is known to have ended: the server listed its end, or lists
 // it no more after its start or stop was answered, or the lease that this placer
 // gave the server is over on the server's own clock. A start whose answer was
-// lost is stopped first.
+// lost is stopped first. Runs that no job holds are kept by their task's name
+// until they have ended, so that a job that comes back can't begin beside them.
+//
+// # Leases of waiting
+//
+// A job that is sent again may reach another placer, which knows nothing of its
+// runs. So runs hold leases only for waitTime since an entry host is known to
+// have waited for their job, and begin only within freshTime of that: they have
+// ended before the job can come back, whoever is lost meanwhile. A server's lease
+// holds for all of its runs; the one that is waited for least bounds it.
 //
 // # Taking over
 //
-// A new placer looks at every server. Jobs that an earlier placer may have
-// started wait until all servers have answered, or the last lease of the earlier
-// placer is over; runs that were found are then adopted and the others started.
+// A new placer looks at every server. Runs that it finds belong to their job as
+// soon as that is handed over; those that nobody claims are stopped. Other tasks
+// of jobs that an earlier placer may have started wait until all servers have
+// answered, or the last lease of the earlier placer is over.
 package runs
--- a/runs/server.go
+++ b/runs/server.go
@@ -68,7 +68,7 @@
 	sent     time.Time
 	began    time.Time // when its start was answered
 	checked  time.Time // a look sent later lists it, or it has ended
-	stopAt   time.Time // when its stop is to be sent again
+	stopAt   time.Time // when its stop is to be sent again, or until when a job may claim it
 	expected time.Duration
 	demand   model.Demand
 }
