Keep what is known of an entry host while a job waits for it

What callers saw: after a takeover a job that was handed over again was neither started nor prolonged. It ended Unknown when its caller's time was over, or as soon as it was too late for it; the same job, sent again, completed at once.

Cause: a job's waiter points to what the placer knows of its entry host. At each tick the placer forgot hosts that it hadn't heard of for 10 s, and a host that it had never heard of counted as one of these. A placer that takes over gets the jobs with its placement and ticks before the first word of their entry host can arrive. That word was then noted for a new entry, and the job went on reading the old one: nobody was known to wait for it, so no task may begin and no lease may be prolonged.

Evidence: the debug logs of two failed plays of TestPath/the placer is killed while a job runs. The job was handed over 0.3 ms after PlacingBegan, settled within 2 ms with 2 usable servers, and had no start until it was refused (Waiting=1, Servers=2) after 5.9 s; in the other play both runs were adopted, lapsed 70 ms later and were never started again. The next try's hand-over, to the same placer, started within 1 ms.

Ruled out: the core (the placement was committed within 1.3 s of the kill), lost hand-overs and withdrawals (the placer logged the hand-over, no withdrawal came), the wait for the leases of the placer before (it settled), servers in use (none).

Change: an entry host that a job waits for isn't forgotten, and one that is lost is emptied in place.

runs.TestFirstWordAfterTick failed in all four cases before. The path test failed in 40 of 40 plays before (three processes at a time, load 10 to 30 on 8 cores) and in none of 36 after.

--- a/runs/wait.go
+++ b/runs/wait.go
@@ -86,7 +86,9 @@
 			return w.host == host && (incarnation == 0 || w.incarnation != incarnation)
 		})
 	}
-	delete(p.hosts, host)
+	if h, ok := p.hosts[host]; ok {
+		*h = entryHost{withdrawn: map[string]withdrawal{}}
+	}
 }
 
 // leave takes waiters off a job. A job that nobody waits for is dropped.
@@ -119,15 +121,27 @@
 }
 
 // forgetHosts drops withdrawals and entry hosts of which nothing is left to know.
+// A host that a job waits with stays, since the job reads there when it was heard.
 func (p *Placer) forgetHosts(now time.Time) {
 	for name, h := range p.hosts {
 		maps.DeleteFunc(h.withdrawn, func(_ string, w withdrawal) bool { return now.Sub(w.at) > withdrawMemory })
-		if len(h.withdrawn) == 0 && now.Sub(h.waited) > hostMemory {
+		if len(h.withdrawn) == 0 && now.Sub(h.waited) > hostMemory && !p.waitedForBy(h) {
 			delete(p.hosts, name)
 		}
 	}
 }
 
+// waitedForBy tells whether an entry host waits for a job. It may not have been
+// heard of yet.
+func (p *Placer) waitedForBy(h *entryHost) bool {
+	for _, j := range p.jobs {
+		if slices.ContainsFunc(j.waiters, func(w waiter) bool { return w.entryHost == h }) {
+			return true
+		}
+	}
+	return false
+}
+
 // until returns when the run's lease has to end.
 func (r *run) until() time.Time {
 	if r.task != nil {
