Queue a job once when a task of it waits again

A job whose last waiting task gets a run that was found, and of which another task fails before the placer goes on, was put into the queue beside its entry there, which is taken out only when tasks are started. Its work then counted twice, and when it ended one of the two entries stayed: its tasks could be started though their job was over.

--- a/runs/found_test.go
+++ b/runs/found_test.go
@@ -126,3 +126,30 @@
 		t.Fatalf("born %d, known %v, clock %d after the late answer, want a new process that isn't known", s.Born, s.known, s.clock)
 	}
 }
+
+// TestQueuedOnce has the run of one task found and that of another one fail before
+// the placer goes on: the job waits again while it is still in the queue.
+func TestQueuedOnce(t *testing.T) {
+	d := newTakeover(t)
+	d.p.Waits("h1", d.now)
+	d.look("b", nil, nil)
+	d.look("c", nil, nil)
+	d.p.Submit(Job{
+		ID: "j", Host: "h1", Incarnation: 1, Hand: 1, Service: "svc", Tasks: 3, Attempts: 3, Came: d.now,
+		Objective: time.Second, Expires: time.Second, Demand: model.Demand{CPU: 1000, MemoryMB: 1, Expected: 200 * time.Millisecond},
+	}, d.now)
+	starts := d.drain().Starts
+	if len(starts) != 2 {
+		t.Fatalf("%d starts, want 2: one task has to wait", len(starts))
+	}
+	first := starts[0]
+	for _, o := range starts {
+		d.p.Started(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Outcome: OutcomeTaken, Clock: 5000}, d.now)
+	}
+	d.drain()
+	d.look("a", []Listed{{Task: "j.0.0.2", Run: 1, CPU: 1000}}, nil)
+	d.look(first.Server.Name, nil, []Ended{{N: 1, Task: first.Task, Run: first.Run, How: HowFailed}})
+	if got := d.p.Waiting(); got != 1 {
+		t.Fatalf("the job is in the queue %d times", got)
+	}
+}
--- a/runs/look.go
+++ b/runs/look.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"slices"
 	"time"
 )
 
@@ -210,7 +211,7 @@
 func (p *Placer) retry(t *task, reason string) {
 	p.event(Event{Kind: EventRetried, Job: t.job.ID, Task: t.name, Run: t.last, Reason: reason})
 	t.job.idle++
-	if t.job.idle == 1 && t.job.clear.IsZero() {
+	if t.job.clear.IsZero() && !slices.Contains(p.waiting, t.job) {
 		p.enqueue(t.job)
 	}
 }
