Wait for the placer of a data centre that comes back from a cut

What callers saw: nothing by itself; a takeover for nothing, in which jobs are handed over again and runs are found, at the end of each cut of a data centre. Each takeover is a chance for what a new placer doesn't know.

Cause: the silence of a placer was counted from its last renewal, though nobody in its data centre could renew. The first host that renewed after the cut was made the placer at once.

Change: it counts from when a host of the data centre is heard of again, if none was for as long as a placer may be silent. A restarted placer is replaced at once, as before.

Found in a review. fleet.TestWatch, "another host of a data centre that was cut off comes first", failed before.

--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -29,6 +29,8 @@
 	hosts    map[string]*watched
 	suspects map[string]time.Time // when another host of its data centre couldn't reach a host
 	proposed map[string]time.Time // by data centre
+	heard    map[string]time.Time // latest renewal, by data centre
+	back     map[string]time.Time // when a data centre was heard of again, of which no host was for a while
 }
 
 type watched struct {
@@ -38,7 +40,10 @@
 
 // NewWatch returns the view of a host that leads since now.
 func NewWatch(now time.Time) *Watch {
-	return &Watch{since: now, hosts: map[string]*watched{}, suspects: map[string]time.Time{}, proposed: map[string]time.Time{}}
+	return &Watch{
+		since: now, hosts: map[string]*watched{}, suspects: map[string]time.Time{}, proposed: map[string]time.Time{},
+		heard: map[string]time.Time{}, back: map[string]time.Time{},
+	}
 }
 
 // Renew notes that a host lives.
@@ -49,6 +54,10 @@
 		w.hosts[m.Host] = h
 	}
 	h.renew, h.seen = m, now
+	if now.Sub(w.heard[m.DataCentre]) > placerSilence {
+		w.back[m.DataCentre] = now
+	}
+	w.heard[m.DataCentre] = now
 	if s, ok := w.hosts[m.Suspect]; m.Suspect != "" && (!ok || s.renew.DataCentre == m.DataCentre) {
 		w.suspects[m.Suspect] = now
 	}
@@ -116,7 +125,8 @@
 }
 
 // fit tells whether a placer may go on. One that has not come to this leader yet
-// may still follow the one before.
+// may still follow the one before. Nobody in a data centre that is cut off can
+// renew, so its placer may be on its way when the first host there comes back.
 func (w *Watch) fit(p model.Placement, now time.Time) bool {
 	seen := w.since
 	if h, ok := w.hosts[p.Host]; ok {
@@ -125,6 +135,9 @@
 		}
 		seen = h.seen
 	}
+	if back := w.back[p.DataCentre]; back.After(seen) {
+		seen = back
+	}
 	silent := now.Sub(seen)
 	if now.Sub(w.suspects[p.Host]) < suspectFor && silent > suspectSilence {
 		return false
--- a/fleet/watch_test.go
+++ b/fleet/watch_test.go
@@ -58,7 +58,16 @@
 		"a placer that follows the leader before":       {steps: renewals(0, 700*time.Millisecond, host("h2", 300)), current: placed, at: 700 * time.Millisecond},
 		"one that doesn't come to the new leader":       {steps: renewals(0, 900*time.Millisecond, host("h2", 300)), current: placed, at: 900 * time.Millisecond, want: "h2"},
 		"one that doesn't come, and others can't reach": {steps: renewals(0, 400*time.Millisecond, suspects), current: placed, at: 400 * time.Millisecond, want: "h2"},
-		"nobody is there to take over":                  {steps: renewals(0, time.Second, host("h1", 900)), current: placed, at: 3 * time.Second},
+		"another host of a data centre that was cut off comes first": {
+			steps: slices.Concat(both, renewals(7600*time.Millisecond, 7900*time.Millisecond, host("h2", 300))), current: placed, at: 8 * time.Second,
+		},
+		"the placer of a data centre that was cut off doesn't come": {
+			steps: slices.Concat(both, renewals(7600*time.Millisecond, 8500*time.Millisecond, host("h2", 300))), current: placed, at: 8500 * time.Millisecond, want: "h2",
+		},
+		"the placer of a data centre that was cut off has restarted": {
+			steps: slices.Concat(both, []step{{at: 7600 * time.Millisecond, renew: host("h2", 300)}, {at: 7700 * time.Millisecond, renew: restarted}}), current: placed, at: 7700 * time.Millisecond, want: "h1",
+		},
+		"nobody is there to take over": {steps: renewals(0, time.Second, host("h1", 900)), current: placed, at: 3 * time.Second},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
