Close the listener for callers without losing requests

What callers saw: a request on a connection that was opened in the moment in which a stopping host closed its listener got no answer, though nothing of it had run; its caller sent it again 1.3 s later.

Cause: two things end such connections. The system takes connections for a listener by itself, and resets those that the host hasn't accepted when it is closed. And a server that shuts down closes a connection on which it has just read its first request (net/http: readRequest, then shuttingDown). The host refused with 503 what came then, but only what reached its handler.

Change: when balancers have noticed the stop, the listener gets a socket filter that drops the first segments of new connections, is closed 0.1 s later, and the server shuts down only when its connections are gone, or 0.2 s after their time is over. A caller whose first segment is dropped repeats it a second later and is refused. The filter needs plain TCP: the system refuses it (EOPNOTSUPP) on the listeners of multipath TCP that net opens by default.

--- /dev/null
+++ b/hosted/door_other.go
@@ -0,0 +1,9 @@
+//go:build !linux
+
+package hosted
+
+import "net"
+
+// turnAway does nothing: connections that come while the listener closes are
+// reset.
+func turnAway(net.Listener) {}
--- a/hosted/listen.go
+++ b/hosted/listen.go
@@ -31,6 +31,7 @@
 // Listen registers a listener. Listeners stop before the services that they use.
 func (h *Host) Listen(l Listener) error {
 	var server *http.Server
+	var front door
 	var open, conns atomic.Int64
 	return h.Kernel.Register(kernel.Service{
 		Name:  l.Name,
@@ -44,6 +45,7 @@
 			if err != nil {
 				return err
 			}
+			front = door{listener: listener}
 			server = newServer(counting(handler, &open))
 			server.ConnState = func(_ net.Conn, state http.ConnState) { countConn(&conns, state) }
 			t.Go(func(context.Context) { _ = server.Serve(listener) })
@@ -51,21 +53,25 @@
 		},
 		Handle: func(*kernel.Task, any) {},
 		Drain: func(t *kernel.Task) bool {
-			return !l.Callers || h.drained(t.Env.Now(), open.Load, conns.Load())
+			now := t.Env.Now()
+			return !l.Callers || (h.drained(now, &front, open.Load, conns.Load()) && front.empty(now, server, conns.Load()))
 		},
 		Stop: func(t *kernel.Task) { shutDown(t, server) },
 	})
 }
 
-// drained tells whether a listener for callers may close: no balancer sends new
-// connections any more, no request is open, and no caller keeps a connection on
-// which it could send one at this moment. Callers are told to close theirs with
-// each answer; for one that isn't used the host waits as long as it may. From
-// then on requests are refused.
-func (h *Host) drained(now time.Time, open func() int64, conns int64) bool {
+// drained tells whether the connections of callers may be closed: no balancer
+// sends new ones any more and the system takes none, no request is open, and no
+// caller keeps a connection on which it could send one at this moment. Callers are
+// told to close theirs with each answer; for one that isn't used the host waits as
+// long as it may. From then on requests are refused.
+func (h *Host) drained(now time.Time, front *door, open func() int64, conns int64) bool {
 	stopping := now.Sub(time.Unix(0, h.stopAt.Load()))
+	if stopping < noticeTime || !front.close(now) {
+		return false
+	}
 	kept := conns > 0 && stopping < h.Settings.Grace-answerReserve-stopReserve
-	if stopping < noticeTime || kept || open() > 0 {
+	if kept || open() > 0 {
 		return false
 	}
 	h.closing.Store(true)
--- a/hosted/listen_test.go
+++ b/hosted/listen_test.go
@@ -1,10 +1,16 @@
 package hosted
 
 import (
+	"context"
+	"errors"
+	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"dogwoodrock.example/dogwoodrock/kernel"
 )
 
 func TestDrained(t *testing.T) {
@@ -30,7 +36,7 @@
 				asked++
 				return tt.open[asked-1]
 			}
-			if got := h.drained(start.Add(tt.after), open, tt.conns); got != tt.want || h.Closing() != tt.want {
+			if got := h.drained(start.Add(tt.after), &door{closed: true}, open, tt.conns); got != tt.want || h.Closing() != tt.want {
 				t.Fatalf("drained %v, closing %v, want %v", got, h.Closing(), tt.want)
 			}
 		})
@@ -58,3 +64,76 @@
 		})
 	}
 }
+
+const (
+	closings = 24 // listeners that close
+	dialers  = 4  // callers that open connections to each of them until it refuses them
+)
+
+// TestCloseCutsNoRequest closes listeners while callers open connections to them.
+func TestCloseCutsNoRequest(t *testing.T) {
+	answers := make(chan error)
+	for range closings {
+		h, address := newCallers(t)
+		stop := make(chan bool, dialers)
+		for range dialers {
+			go func() { answers <- callUntilRefused("http://"+address, stop) }()
+		}
+		for range dialers {
+			<-stop // each has had an answer
+		}
+		h.stopAt.Store(time.Now().Add(-h.Settings.Grace).UnixNano())
+		go h.Kernel.Stop(context.Background())
+	}
+	for range closings * dialers {
+		if err := <-answers; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// newCallers returns a host that takes callers at an address.
+func newCallers(t *testing.T) (h *Host, address string) {
+	env := kernel.SystemEnv()
+	listen := env.Listen
+	env.Listen = func(ctx context.Context, network, at string) (net.Listener, error) {
+		l, err := listen(ctx, network, at)
+		if err == nil {
+			address = l.Addr().String() // that of the callers comes last
+		}
+		return l, err
+	}
+	h, err := New(Settings{Address: "127.0.0.1", PeerListen: "127.0.0.1:0", Grace: 6 * time.Second}, WithEnv(env))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	err = h.Listen(Listener{Name: "callers", Address: "127.0.0.1:0", Callers: true, Handle: func(func(string) (kernel.Ref, error)) (http.Handler, error) { return ok, nil }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := h.Kernel.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return h, address
+}
+
+// callUntilRefused sends requests over new connections. It returns the error of
+// one that got no answer though its connection was taken.
+func callUntilRefused(url string, answered chan<- bool) error {
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for n := 0; ; n++ {
+		r, err := c.Post(url, "", strings.NewReader("{}"))
+		var op *net.OpError
+		switch {
+		case errors.As(err, &op) && op.Op == "dial":
+			return nil
+		case err != nil:
+			return err
+		}
+		_ = r.Body.Close()
+		if n == 0 {
+			answered <- true
+		}
+	}
+}
--- a/kernel/env.go
+++ b/kernel/env.go
@@ -18,10 +18,12 @@
 
 // SystemEnv returns the clock, random numbers and sockets of the system.
 func SystemEnv() Env {
+	var plain net.ListenConfig
+	plain.SetMultipathTCP(false) // the system filters plain TCP only
 	return Env{
 		Now:    time.Now,
 		Random: rand.Uint64,
 		Dial:   (&net.Dialer{}).DialContext,
-		Listen: (&net.ListenConfig{}).Listen,
+		Listen: plain.Listen,
 	}
 }
