--- a/soak/callers.go
+++ b/soak/callers.go
@@ -67,13 +67,13 @@
 
 // readBack checks that a host doesn't tell an older version than was acknowledged
 // before it was asked.
-func (s *Site) readBack(ctx context.Context, control string) uint64 {
+func (s *Site) readBack(ctx context.Context, control string) (version uint64, status int) {
 	least := s.acked.Load()
-	got := mimic.Get(ctx, control)
-	if got != 0 && int64(got) < least {
-		s.fail("%s tells version %d, though %d was acknowledged before", control, got, least)
+	version, status = mimic.Get(ctx, control)
+	if version != 0 && int64(version) < least {
+		s.fail("%s tells version %d, though %d was acknowledged before", control, version, least)
 	}
-	return got
+	return version, status
 }
 
 // collect counts results until the faults are over and the system has had the
@@ -171,8 +171,8 @@
 		s.fail("after the recovery %d of %d jobs were served", s.report.Served, s.report.Late)
 	}
 	for _, c := range s.controls {
-		if got := s.readBack(ctx, c); got == 0 {
-			s.fail("%s doesn't tell the configuration in the end", c)
+		if got, status := s.readBack(ctx, c); got == 0 {
+			s.fail("%s doesn't tell the configuration in the end: status %d", c, status)
 		}
 	}
 	close(s.failures)
