Keep the listener for callers open until the host may close

Now the listener closes when the host may close, as it did, and the connections that come meanwhile are served.

--- a/hosted/door.go
+++ b/hosted/door.go
@@ -12,7 +12,7 @@
 	// host that is short of processor time accepts what has come.
 	doorTime = 100 * time.Millisecond
 
-	lingerTime = stopReserve / 2 // in which connections that were just opened are used, and refused
+	lingerTime = stopReserve / 4 // in which requests come on connections that are left, and are refused
 )
 
 // door closes a listener for callers and their connections without a request
@@ -26,12 +26,15 @@
 	emptyAt  time.Time // when the connections began to be closed, zero before
 }
 
+// shut tells whether the listener is being closed.
+func (d *door) shut() bool { return d.closed || !d.shutAt.IsZero() }
+
 // close tells whether the listener is closed. It has to be called again until
 // then.
 func (d *door) close(now time.Time) bool {
 	switch {
 	case d.closed:
-	case d.shutAt.IsZero():
+	case !d.shut():
 		d.shutAt = now
 		turnAway(d.listener)
 	case now.Sub(d.shutAt) >= doorTime:
--- a/hosted/listen.go
+++ b/hosted/listen.go
@@ -60,18 +60,19 @@
 	})
 }
 
-// drained tells whether the connections of callers may be closed: no balancer
-// sends new ones any more and the system takes none, no request is open, and no
-// caller keeps a connection on which it could send one at this moment. Callers are
-// told to close theirs with each answer; for one that isn't used the host waits as
-// long as it may. From then on requests are refused.
+// drained tells whether a listener for callers is closed and their connections
+// may be: no balancer sends new ones any more, no request is open, and no caller
+// keeps a connection on which it could send one at this moment. Callers are told
+// to close theirs with each answer; for one that isn't used the host waits as long
+// as it may. From then on requests are refused.
 func (h *Host) drained(now time.Time, front *door, open func() int64, conns int64) bool {
 	stopping := now.Sub(time.Unix(0, h.stopAt.Load()))
-	if stopping < noticeTime || !front.close(now) {
+	if stopping < noticeTime {
 		return false
 	}
 	kept := conns > 0 && stopping < h.Settings.Grace-answerReserve-stopReserve
-	if kept || open() > 0 {
+	busy := kept || open() > 0
+	if (busy && !front.shut()) || !front.close(now) || busy {
 		return false
 	}
 	h.closing.Store(true)
