Answer decisions of the core that were begun before the lead was lost

A change or a read of the routes that a leader had begun when it lost its lead got no answer: the leader dropped it, and the caller waited 3 s for a refusal, longer than operators wait. Now it is answered 503 at once. It may still be decided, so the answer names no other host.

--- a/core/ask.go
+++ b/core/ask.go
@@ -19,11 +19,12 @@
 }
 
 // Answer is what became of a Put or a Read. When Done is false, Leader names the
-// host to ask instead, if one is known; nothing was decided here, unless Full
-// tells that the host has no room for what it had begun.
+// host to ask instead, if one is known; nothing was decided here, unless Full or
+// Lost tells what became of this host after it had begun.
 type Answer struct {
 	Done   bool
 	Full   bool // the disk of this host is full
+	Lost   bool // this host leads no more, so the next leader may decide it or not
 	Leader string
 	Routes model.RoutesText // newest, when Done
 }
--- a/core/node.go
+++ b/core/node.go
@@ -308,9 +308,13 @@
 }
 
 func (n *Node) leadNoMore(view uint64) {
+	begun := n.open
 	n.watch, n.open = nil, nil
-	n.log.Drop()
+	n.log.Drop() // begun is answered below
 	n.Hooks.Leading(false, view)
+	for _, reply := range begun {
+		reply(Answer{Lost: true})
+	}
 }
 
 // replaced tells whether another host has taken the place of this one.
