--- a/runs/load_test.go
+++ b/runs/load_test.go
@@ -49,7 +49,7 @@
 		}
 	}
 	sp := w.newPlacer(1)
-	w.newHost("h", sp)
+	h := w.newHost("h", sp)
 	came := map[string]time.Time{}
 	goal := map[string]time.Duration{}
 	w.onEnd = func(e End) {
@@ -90,6 +90,9 @@
 				j.Priority = 0
 				j.Objective = j.Demand.Expected + time.Minute
 			}
+			h.hands++
+			j.Hand = h.hands
+			h.open[id], h.to[id] = j, sp
 			sp.do(func() { sp.p.Submit(j, w.now) })
 			if w.now.Before(time.Unix(1010, 0)) {
 				w.after(time.Duration(float64(k.every)/factor*(0.5+w.rng.Float64())), submit)
