Count the messages of a host's processes apart

Callers could see a task run twice at the same time: a hand-over that was refused here, and went to another data centre, was taken again here.

Cause: the inbox kept one position for each remote host and began anew with each other incarnation. A batch of the process before that came late, as a network delivers what was written before a cut, let the present process's position be forgotten. A batch that was tried again, as its answer was lost, was then taken twice.

Ruled out: to order incarnations. They are random (hosted.New, daemon), and nothing on an entry host rises over its restarts but the time of day, which may be set back. To ignore the batches of a former process: one that is heard of for the first time may be the next one or one before, and a present process that was taken for former would be cut off for good.

Change: the inbox keeps a position for each of the last 16 processes of a host. The process that was heard of longest ago is forgotten first, so one that goes on sending isn't.

--- a/peers/inbox.go
+++ b/peers/inbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"dogwoodrock.example/dogwoodrock/codec"
 	"dogwoodrock.example/dogwoodrock/events"
@@ -16,7 +17,13 @@
 	reply func(*wire.Receipt)
 }
 
-// lane is what the inbox remembers of one reliable link towards it.
+// maxLanes is the number of processes of a remote host that are remembered: one
+// that restarts each second draws as many in several times the life of a batch.
+const maxLanes = 16
+
+// lane is what the inbox remembers of one reliable link towards it, of one process
+// of the remote host. Incarnations aren't ordered, so a process that is heard of
+// for the first time may be the next one or one before.
 type lane struct {
 	incarnation uint64
 	taken       uint64
@@ -29,7 +36,7 @@
 	Find        func(name string) (kernel.Ref, error)
 	Sent        func(bytes int) // hears of the bytes sent in answers
 
-	lanes map[string]*lane // by host
+	lanes map[string][]*lane // by host, the process heard of last comes last
 }
 
 func (b *Inbox) handle(m incoming) {
@@ -63,11 +70,15 @@
 }
 
 func (b *Inbox) laneOf(batch *wire.Batch) *lane {
-	l, ok := b.lanes[batch.GetFrom()]
-	if !ok || l.incarnation != batch.GetIncarnation() {
-		l = &lane{incarnation: batch.GetIncarnation()}
-		b.lanes[batch.GetFrom()] = l
+	lanes := b.lanes[batch.GetFrom()]
+	l := &lane{incarnation: batch.GetIncarnation()}
+	if i := slices.IndexFunc(lanes, func(known *lane) bool { return known.incarnation == l.incarnation }); i >= 0 {
+		l = lanes[i]
+		lanes = slices.Delete(lanes, i, i+1)
+	} else if len(lanes) == maxLanes {
+		lanes = slices.Delete(lanes, 0, 1)
 	}
+	b.lanes[batch.GetFrom()] = append(lanes, l)
 	// The sender never returns to messages before FirstSeq: they were taken by
 	// an earlier process of this host, or given up.
 	l.taken = max(l.taken, batch.GetFirstSeq()-1)
--- a/peers/server.go
+++ b/peers/server.go
@@ -50,7 +50,7 @@
 		Depth: inboxDepth,
 		Start: func(t *kernel.Task) error {
 			b.Find = t.Find
-			b.lanes = map[string]*lane{}
+			b.lanes = map[string][]*lane{}
 			l, err := t.Env.Listen(t.Context(), "tcp", address)
 			if err != nil {
 				return err
