Remember the former processes of entry hosts over silence and epochs

Callers saw jobs of a host that had restarted end without an answer: its placer stopped them and ignored the host from then on, until it was silent for 0.9 s.

Cause: a placer knew the former processes of an entry host only as long as it knew the host. 0.9 s of silence, as while the host is down, or a new epoch made it forget them. A late message of the process before then began "the next process", and the present one counted as former.

Ruled out: to compare incarnations, which are random. To keep what is former for good: a process whose very first message comes late looks like the next one, and the present one, taken for former, would be ignored until it restarts (so far until it was silent).

Change: model.Processes tells the present process from the last 16 before it. A placer keeps that for an hour after the last word of a host, over silence and epochs. A pulse of a "former" process with a stamp that was told since the "present" one was first heard of shows the mistake, since only the process that the host has now is told stamps.

--- a/placer/node.go
+++ b/placer/node.go
@@ -64,7 +64,8 @@
 	tableEpoch uint64            // of the placer that told servers
 	placedFor  uint64            // latest epoch under which this process placed
 	hosts      map[string]*host
-	fencedAt   time.Time // zero unless the next placer isn't known yet
+	processes  map[string]*process // by host, also of one that is silent, and over epochs
+	fencedAt   time.Time           // zero unless the next placer isn't known yet
 	early      []early
 	flushing   bool // a flush is on its way
 	stateAt    time.Time
@@ -76,14 +77,12 @@
 
 // host is an entry host that sends jobs.
 type host struct {
-	incarnation uint64
-	former      map[uint64]bool // processes before this one, whose messages come late
-	since       time.Time       // when this epoch first heard of its process
-	waited      time.Time       // latest time at which it is known to have waited, zero for none
-	asked       time.Time       // when a pulse was asked of it last
-	near        bool            // of this data centre, so that it keeps the table
-	has         uint64          // version of the table that the host has, 0 for none of this epoch
-	told        uint64          // and that it was sent
+	since  time.Time // when this epoch first heard of its process
+	waited time.Time // latest time at which it is known to have waited, zero for none
+	asked  time.Time // when a pulse was asked of it last
+	near   bool      // of this data centre, so that it keeps the table
+	has    uint64    // version of the table that the host has, 0 for none of this epoch
+	told   uint64    // and that it was sent
 }
 
 // silent tells whether the host isn't known to have waited lately.
@@ -142,6 +141,7 @@
 			}
 			n.servers = map[string]model.Server{}
 			n.hosts = map[string]*host{}
+			n.processes = map[string]*process{}
 			connect(t)
 			return nil
 		},
@@ -310,32 +310,13 @@
 	if n.placer == nil {
 		return
 	}
-	if h := n.hosts[m.Host]; h != nil && h.incarnation != m.Incarnation {
+	if p := n.processes[m.Host]; p != nil && p.Present != m.Incarnation {
 		return // each process of the host numbers its hand-overs anew
 	}
 	n.alive(m.Host, m.Incarnation, now)
 	n.placer.Withdraw(m.Job, m.Host, m.Hand, now)
 }
 
-// alive notes that an entry host lives. Nobody waits for the jobs of its earlier
-// processes. It returns false for a message of one of these.
-func (n *Node) alive(name string, incarnation uint64, now time.Time) bool {
-	h, ok := n.hosts[name]
-	if !ok {
-		h = &host{incarnation: incarnation, former: map[uint64]bool{}, since: now}
-		n.hosts[name] = h
-	}
-	if h.former[incarnation] {
-		return false
-	}
-	if h.incarnation != incarnation {
-		h.former[h.incarnation] = true
-		h.incarnation, h.since, h.waited = incarnation, now, time.Time{}
-		n.placer.HostLost(name, incarnation, now)
-	}
-	return true
-}
-
 // beat notes a report of a backend server.
 func (n *Node) beat(s model.Server, now time.Time) Noted {
 	old, known := n.servers[s.Name]
--- a/placer/table.go
+++ b/placer/table.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -21,10 +22,12 @@
 // missed it: some pulses.
 const leftMemory = 10 * time.Second
 
-// prune forgets servers that left and jobs that came too early.
+// prune forgets servers that left, jobs that came too early and the processes of
+// hosts that are gone.
 func (n *Node) prune(now time.Time) {
 	maps.DeleteFunc(n.changed, func(_ string, c change) bool { return c.server.Left && now.Sub(c.at) > leftMemory })
 	n.early = slices.DeleteFunc(n.early, func(e early) bool { return now.Sub(e.came) > earlyTime })
+	maps.DeleteFunc(n.processes, func(_ string, p *process) bool { return now.Sub(p.heard) > processMemory })
 }
 
 // pulse notes that an entry host lives, for which jobs it waits, and which version
@@ -34,7 +37,8 @@
 		_ = n.Send(m.Host, msgs.ServiceEntry, msgs.Pulsed{Host: n.Self, Incarnation: n.Incarnation, Idle: n.latest.Epoch}) // the host asks again
 		return
 	}
-	if !n.alive(m.Host, m.Incarnation, now) {
+	if !n.alive(m.Host, m.Incarnation, now) && !n.mistaken(m, now) {
+		n.tell(m.Host, cmp.Or(n.hosts[m.Host], &host{}), now) // the present process returns the stamp
 		return
 	}
 	h := n.hosts[m.Host]
--- a/placer/waiting_test.go
+++ b/placer/waiting_test.go
@@ -26,7 +26,7 @@
 	w := &waiting{now: time.Unix(1000, 0)}
 	w.Node = &Node{
 		Self: "p1", DataCentre: "dc", Incarnation: 1, began: w.now.Add(-waitAge),
-		servers: map[string]model.Server{}, hosts: map[string]*host{},
+		servers: map[string]model.Server{}, hosts: map[string]*host{}, processes: map[string]*process{},
 		Hooks: Hooks{
 			Began: func(model.Placement, int) {}, Ended: func(uint64, string, int) {}, Event: func(uint64, runs.Event) {},
 			End: func(runs.End) {}, Hand: func(msgs.JobHand) {}, State: func(View) {},
