Ignore late renewals of former processes of a host

Callers would see a data centre without a placer for up to a second, or jobs handed over again for nothing: the core placed a process that was gone.

Cause: fleet.Watch kept the latest renewal of each host, whichever process it was of. A late one of the process before made the placer unfit ("it has another process", "it is leaving"), had that process placed if the host was the best, and raised suspicions that it had held.

Ruled out: a double run by it. A process takes a placement only with its own incarnation (placer.placed), and each placement has a new epoch. A memory of an hour as in the placer: no stamp tells the core of a mistake, so a present process that is taken for former has to be taken again soon.

Change: the watch keeps model.Processes with each host, as long as it lists the host, and ignores renewals of former ones.

Tests: fleet.TestFormerProcessRenewsLate failed before in its 5 cases ("places {h1, Incarnation 7} by the word of a former process"). TestFirstRenewalOfFormerProcess passed before too: it holds that a mistake ends.

--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -34,8 +34,9 @@
 }
 
 type watched struct {
-	renew msgs.HostRenew
-	seen  time.Time
+	processes model.Processes
+	renew     msgs.HostRenew
+	seen      time.Time
 }
 
 // NewWatch returns the view of a host that leads since now.
@@ -46,13 +47,16 @@
 	}
 }
 
-// Renew notes that a host lives.
+// Renew notes that a host lives. A renewal of a former process comes late.
 func (w *Watch) Renew(m msgs.HostRenew, now time.Time) {
 	h, ok := w.hosts[m.Host]
 	if !ok {
 		h = &watched{}
 		w.hosts[m.Host] = h
 	}
+	if !h.processes.Hear(m.Incarnation) {
+		return
+	}
 	h.renew, h.seen = m, now
 	if now.Sub(w.heard[m.DataCentre]) > placerSilence {
 		w.back[m.DataCentre] = now
--- a/fleet/watch_test.go
+++ b/fleet/watch_test.go
@@ -89,3 +89,67 @@
 		})
 	}
 }
+
+// TestFormerProcessRenewsLate has a renewal of a placer's process before come late.
+func TestFormerProcessRenewsLate(t *testing.T) {
+	former := host("h1", 900)
+	former.Incarnation = 7
+	leaving, suspects := former, former
+	leaving.Leaving, suspects.Suspect = true, "h2"
+	tests := map[string]struct {
+		late    msgs.HostRenew
+		silent  time.Duration // the host, before its present process renewed
+		current string        // the placer
+	}{
+		"it was alive":                          {late: former, current: "h1"},
+		"it was leaving":                        {late: leaving, current: "h1"},
+		"it suspected the placer":               {late: suspects, current: "h2"},
+		"it was alive, then the host was down":  {late: former, silent: 2 * time.Second, current: "h1"},
+		"it was leaving, then the host was off": {late: leaving, silent: 10 * time.Second, current: "h1"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			w := NewWatch(now)
+			w.Renew(former, now)
+			now = now.Add(tt.silent)
+			current := []model.Placement{{DataCentre: "dc", Host: tt.current, Incarnation: 1, Epoch: 5}}
+			for range 10 {
+				now = now.Add(RenewInterval)
+				w.Renew(host("h1", 900), now)
+				w.Renew(host("h2", 900), now)
+			}
+			now = now.Add(2 * RenewInterval)
+			w.Renew(host("h1", 900), now)
+			w.Renew(tt.late, now)
+			if changes := w.Decide(current, now); len(changes) != 0 {
+				t.Fatalf("places %+v by the word of a former process", changes)
+			}
+			if m, _ := w.Renewal("h1"); m.Incarnation != 1 {
+				t.Fatalf("h1 is known as process %d, want 1", m.Incarnation)
+			}
+		})
+	}
+}
+
+// TestFirstRenewalOfFormerProcess has the first renewal of a process before come
+// after those of the present one, which isn't to be ignored for good.
+func TestFirstRenewalOfFormerProcess(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := NewWatch(now)
+	former := host("h1", 900)
+	former.Incarnation = 7
+	w.Renew(host("h1", 900), now)
+	w.Renew(former, now)
+	var last []model.Placement
+	for end := now.Add(forgetAfter + 2*placeRetry); now.Before(end); {
+		now = now.Add(RenewInterval)
+		w.Renew(host("h1", 900), now)
+		if changes := w.Decide(last, now); len(changes) > 0 {
+			last = changes
+		}
+	}
+	if len(last) != 1 || last[0].Incarnation != 1 {
+		t.Fatalf("placed %+v, want the present process of h1", last)
+	}
+}
