Take a placer for one again as soon as it answers

Callers of an entry host saw jobs refused, or served by another data centre, while the placer of their own one was there.

Cause: an entry host that hears from another process of its placer's host than the placement names takes the placer for gone, and did so until the next placement. That word may be a late one of the process before.

Ruled out: to tell the two apart. Incarnations are random, and a process that has begun anew has to be known at once, as its callers' jobs wait.

Change: an answer under the placement's epoch ends it. Which word came last is wrong until the answer to the pulse that is sent at once after it.

Test: entry.TestFormerProcessOfPlacer failed before in 3 of 7 cases; the three in which the placer has begun anew and the one without such a word passed.

--- /dev/null
+++ b/entry/former_test.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/msgs"
+)
+
+// TestFormerProcessOfPlacer has a word of the process before of the placer's host
+// come late, that it doesn't place. The placer answers the pulse after that.
+func TestFormerProcessOfPlacer(t *testing.T) {
+	places := func(f *fixture) {
+		f.Handle(msgs.Pulsed{Host: placedA.Host, Incarnation: placedA.Incarnation, Epoch: placedA.Epoch})
+	}
+	former := func(f *fixture) { f.Handle(msgs.Pulsed{Host: placedA.Host, Incarnation: 7}) }
+	submit := func(f *fixture) { f.submitLong("j", "/v/j", time.Second) }
+	tests := map[string]struct {
+		act  []func(f *fixture)
+		want string // placer that gets the job
+	}{
+		"no such word":              {act: []func(*fixture){places, submit}, want: "p1"},
+		"before the placer's":       {act: []func(*fixture){former, places, submit}, want: "p1"},
+		"between the placer's":      {act: []func(*fixture){places, former, places, submit}, want: "p1"},
+		"twice":                     {act: []func(*fixture){places, former, former, places, submit}, want: "p1"},
+		"the placer began anew":     {act: []func(*fixture){places, former, submit}, want: "q1"},
+		"it answers, then is anew":  {act: []func(*fixture){places, former, places, former, submit}, want: "q1"},
+		"it is anew and goes on so": {act: []func(*fixture){former, former, submit}, want: "q1"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.tell(2, "v", placedA, placedB)
+			f.Handle(msgs.Pulsed{Host: placedB.Host, Incarnation: placedB.Incarnation, Epoch: placedB.Epoch})
+			for _, act := range tt.act {
+				act(f)
+			}
+			f.wait(parkTime + 2*tick)
+			got := f.hands()
+			if len(got) != 1 || got[0].Host != tt.want {
+				t.Fatalf("handed over %+v, want once, to %s", got, tt.want)
+			}
+		})
+	}
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -395,6 +395,7 @@
 		n.idle(m.Host, s, now)
 		return
 	}
+	s.idle = false // the word that it is was one of a process before, and late
 	s.stamp = max(s.stamp, m.Stamp)
 	n.handParked(m.Host, now)
 	pulsed := n.placements[n.DataCentre].Host == m.Host && n.learnTable(m, now)
