Report a restart of a host once

Callers of jobs that had been handed to another host got OutcomeUnknown though that host had not restarted again.

Cause: a host reports a restart when a hello tells another incarnation than the hello before. A late hello of the process before counted as a restart, and the next one of the present process as another.

Change: model.Processes tells which hello is the first of a process. A hello of a former process still counts otherwise: ignored for good, a process that was taken for former by mistake would look as if it had no lists.

Test: keeper.TestFormerProcessSaysHelloLate failed before in 4 of 6 cases ("3 restarts are reported, want 1").

--- a/keeper/node.go
+++ b/keeper/node.go
@@ -80,12 +80,12 @@
 
 // peer is another host as its hellos show it.
 type peer struct {
-	incarnation uint64
-	version     uint64
-	seen        time.Time
-	reachable   bool
-	sent        uint64 // newest version that was sent to it
-	sentAt      time.Time
+	processes model.Processes
+	version   uint64
+	seen      time.Time
+	reachable bool
+	sent      uint64 // newest version that was sent to it
+	sentAt    time.Time
 }
 
 // spread follows how a version comes into force everywhere.
--- a/keeper/node_test.go
+++ b/keeper/node_test.go
@@ -184,3 +184,33 @@
 		t.Errorf("versions in force were %v, want none and then 2", seen)
 	}
 }
+
+// TestFormerProcessSaysHelloLate has hellos of a host's processes come in any order.
+func TestFormerProcessSaysHelloLate(t *testing.T) {
+	tests := map[string]struct {
+		hellos []uint64 // incarnations
+		want   int      // restarts that are reported
+	}{
+		"one process":                  {hellos: []uint64{7, 7}},
+		"a restart":                    {hellos: []uint64{7, 2, 2}, want: 1},
+		"the former one comes late":    {hellos: []uint64{7, 2, 7, 2}, want: 1},
+		"two former ones come late":    {hellos: []uint64{7, 2, 3, 7, 2, 3}, want: 2},
+		"the first of one before":      {hellos: []uint64{2, 7, 2, 2}, want: 1},
+		"a restart after a late hello": {hellos: []uint64{7, 2, 7, 4}, want: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			n, other := w.nodes[allHosts[0]], allHosts[1]
+			n.peers[other] = &peer{}
+			got := 0
+			n.Hooks.Restarted = func(string) { got++ }
+			for _, incarnation := range tt.hellos {
+				n.Handle(msgs.Hello{Host: other, Incarnation: incarnation})
+			}
+			if got != tt.want {
+				t.Fatalf("%d restarts are reported, want %d", got, tt.want)
+			}
+		})
+	}
+}
--- a/keeper/spread.go
+++ b/keeper/spread.go
@@ -134,10 +134,9 @@
 		n.sendUpdate(m.Host, time.Time{})
 	}
 	n.Hooks.Met(m.Host, m.Address)
-	if p.incarnation != 0 && p.incarnation != m.Incarnation {
+	if before := p.processes.Present; p.processes.Hear(m.Incarnation) && before != 0 && before != m.Incarnation {
 		n.Hooks.Restarted(m.Host)
 	}
-	p.incarnation = m.Incarnation
 	p.version = m.ListsVersion
 	p.seen = now
 	p.reachable = true
