Take no lease that was given to the process before

On the product's own interface a host could count on a lease for as long as its process before had run, and took no lease of its primary in that time, or began anew by an expulsion that wasn't its own.

Cause: a lease counts from the moment on the host's clock at which the renewal was sent, and each process begins that clock at zero. The answer to a renewal of the process before, which was on its way while the host restarted, named a time that this process had not reached: it was the newest, so all later answers counted as overtaken, and the lease held until then.

Not shown: a task that ran twice by it. Grants come from the primary, which knows the process, and calls have a fence. The answer to a process before that was younger than this one is still taken; it holds no longer than the lease that the primary gave.

Change: an answer to a renewal of a later time than now is dropped.

Test: jobs.TestLeaseOfFormerProcess failed before in both cases ("it began anew, as process 2 after 11", "the lease that it was given after that doesn't count").

--- a/jobs/lease.go
+++ b/jobs/lease.go
@@ -79,6 +79,9 @@
 	if m.SentAt < r.newestRenew {
 		return // overtaken, perhaps by a lease of another generation
 	}
+	if m.SentAt > r.Now().Sub(r.origin) {
+		return // for the process before, which counted from another time
+	}
 	r.newestRenew = m.SentAt
 	if m.Alone {
 		r.leasedAlone(m)
--- a/jobs/lease_test.go
+++ b/jobs/lease_test.go
@@ -34,3 +34,35 @@
 		})
 	}
 }
+
+// TestLeaseOfFormerProcess has the answer to a renewal of the process before come
+// to this one, which has begun later and so has sent no renewal of that time.
+func TestLeaseOfFormerProcess(t *testing.T) {
+	const beat = 100 * time.Millisecond
+	late := leaseOf(1, 1)
+	late.SentAt = time.Hour
+	gone := expelled
+	gone.SentAt = time.Hour
+	tests := map[string]msgs.Lease{"a lease": late, "an expulsion": gone}
+	for name, m := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			for _, step := range []any{beat, leaseOf(1, 1), m, beat} {
+				w.do(step)
+			}
+			renewals := sentOf[msgs.Renew](w)
+			first, last := renewals[0], renewals[len(renewals)-1]
+			if last.Incarnation != first.Incarnation {
+				t.Errorf("it began anew, as process %d after %d", last.Incarnation, first.Incarnation)
+			}
+			lease := leaseOf(1, 2)
+			lease.SentAt = last.SentAt
+			w.do(lease)
+			w.do(beat)
+			renewals = sentOf[msgs.Renew](w)
+			if last = renewals[len(renewals)-1]; last.View != 2 {
+				t.Errorf("the lease that it was given after that doesn't count: it renews in view %d, want 2", last.View)
+			}
+		})
+	}
+}
