Name the hand-over that the end of a job answers

An end named the job and the placer's epoch only. A caller that leaves and comes back to the same entry host makes a second hand-over of the same job under the same epoch, and links repeat messages for up to 2.6 s. A late Refused of the first one was taken for the second: the host handed the job to another data centre while its own placer ran it. Also the first refusal of the own placer, told again, counted as the second one.

Ruled out: doubled delivery by one link, as receivers drop what they have seen; so only ends that come late matter, not repeated hand-overs.

An end now carries the number of the hand-over and the process of the entry host that numbered it, for each host that waits. Other ends are ignored, but for Complete, which holds whichever hand-over it answers; the job is then withdrawn from the placer that has it. The epoch is still compared, as a later placer on the same host can't tell that nothing was run.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -212,18 +212,22 @@
 	}
 }
 
-// ended takes the placer's word. One of an earlier epoch counts too: it tells
-// what became of runs that it had started.
+// ended takes the placer's word on the latest hand-over of a job. One on an
+// earlier hand-over comes late: only that the job is complete still holds.
 func (n *Node) ended(m msgs.JobEnded, now time.Time) {
 	j, ok := n.jobs[m.Job]
-	if !ok || (m.State != model.JobEndComplete && m.Epoch != j.placement.Epoch) {
+	if !ok {
+		return
+	}
+	latest := m.Epoch == j.placement.Epoch && m.Hand == j.hand.Hand && m.Incarnation == n.Incarnation
+	if !latest && m.State != model.JobEndComplete {
 		return
 	}
 	out := Outcome{Reason: m.Reason, RetryAfter: m.RetryAfter}
 	switch m.State {
 	case model.JobEndComplete:
 		out.Kind = KindComplete
-		if m.Epoch != j.placement.Epoch {
+		if !latest {
 			n.withdraw(j, now) // from the placer that it was handed to since
 		}
 	case model.JobEndFailed:
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -79,6 +79,15 @@
 	return list
 }
 
+// told tells the end of the latest hand-over.
+func (f *fixture) told(m msgs.JobEnded) {
+	m.Incarnation = f.Incarnation
+	if j, ok := f.jobs[m.Job]; ok {
+		m.Hand = j.hand.Hand
+	}
+	f.Handle(m)
+}
+
 // wait lets time pass in ticks.
 func (f *fixture) wait(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(tick) {
@@ -116,13 +125,13 @@
 		"complete": {act: func(f *fixture) {
 			f.tell(2, "v", placedA)
 			f.submitJob("j", "/v/j")
-			f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndComplete})
+			f.told(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndComplete})
 		}, to: []string{"p1"}, want: []Kind{KindComplete}},
 		"a resend joins the open job": {act: func(f *fixture) {
 			f.tell(2, "v", placedA)
 			f.submitJob("j", "/v/j")
 			f.submitJob("j", "/v/j")
-			f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndFailed})
+			f.told(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndFailed})
 		}, to: []string{"p1"}, want: []Kind{KindFailed}},
 		"a new placer gets the open jobs": {act: func(f *fixture) {
 			f.tell(2, "v", placedA)
@@ -133,13 +142,13 @@
 			f.tell(2, "v", placedA)
 			f.submitJob("j", "/v/j")
 			f.tell(0, "", placedA2)
-			f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndRefused})
+			f.told(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndRefused})
 		}, to: []string{"p1", "p2"}, age: true},
 		"the second placer can't say that nothing ran": {act: func(f *fixture) {
 			f.tell(2, "v", placedA)
 			f.submitJob("j", "/v/j")
 			f.tell(0, "", placedA2)
-			f.Handle(msgs.JobEnded{Job: "j", Host: "p2", Epoch: 6, State: model.JobEndRefused})
+			f.told(msgs.JobEnded{Job: "j", Host: "p2", Epoch: 6, State: model.JobEndRefused})
 		}, to: []string{"p1", "p2"}, want: []Kind{KindUnknown}, age: true},
 		"an earlier epoch is ignored": {act: func(f *fixture) {
 			f.tell(2, "v", placedA2)
@@ -304,7 +313,7 @@
 				answer(f, placedA)
 			}
 			f.submitJob("j", "/v/j")
-			f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: placedA.Epoch, State: model.JobEndRefused})
+			f.told(msgs.JobEnded{Job: "j", Host: "p1", Epoch: placedA.Epoch, State: model.JobEndRefused})
 			f.wait(pulseInterval)
 			answer(f, placedA)
 		}},
@@ -372,7 +381,7 @@
 			f.submitJob("j", "/v/j")
 			f.wait(tt.wait)
 			if tt.end {
-				f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndComplete})
+				f.told(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndComplete})
 			}
 			got := Kind(0)
 			if len(f.answers) > 0 {
@@ -394,13 +403,13 @@
 	f := newFixture()
 	f.tell(2, "v", placedA, placedB)
 	f.submitJob("j", "/v/j")
-	f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndRefused, RetryAfter: time.Second})
-	f.Handle(msgs.JobEnded{Job: "j", Host: "q1", Epoch: 5, State: model.JobEndRefused, RetryAfter: time.Second})
+	f.told(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndRefused, RetryAfter: time.Second})
+	f.told(msgs.JobEnded{Job: "j", Host: "q1", Epoch: 5, State: model.JobEndRefused, RetryAfter: time.Second})
 	hands := f.hands()
 	if len(hands) != 3 || hands[1].Host != "q1" || !hands[1].Strict || hands[2].Host != "p1" || hands[2].Strict {
 		t.Fatalf("hands %+v, want the own placer, the other one, and the own one once more without its objective", hands)
 	}
-	f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndRefused, RetryAfter: time.Second})
+	f.told(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndRefused, RetryAfter: time.Second})
 	if len(f.answers) != 1 || f.answers[0].Kind != KindRefused || f.answers[0].RetryAfter != time.Second {
 		t.Fatalf("answers %+v, want one refusal with the time to come back", f.answers)
 	}
--- a/entry/waiting_test.go
+++ b/entry/waiting_test.go
@@ -117,13 +117,13 @@
 		}, want: first},
 		"ended by its placer": {act: func(f *fixture) {
 			f.submitJob("j", "/v/j")
-			f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndComplete})
+			f.told(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndComplete})
 		}},
 		"ended by the placer before": {act: func(f *fixture) {
 			f.tell(0, "", model.Placement{DataCentre: "a", Host: "p0", Incarnation: 1, Epoch: 6})
 			f.submitJob("j", "/v/j")
 			f.tell(0, "", model.Placement{DataCentre: "a", Host: "p1", Incarnation: 1, Epoch: 8})
-			f.Handle(msgs.JobEnded{Job: "j", Host: "p0", Epoch: 6, State: model.JobEndComplete})
+			f.told(msgs.JobEnded{Job: "j", Host: "p0", Epoch: 6, State: model.JobEndComplete})
 		}, epoch: 8, want: []msgs.JobWithdraw{{Job: "j", Host: "h1", Incarnation: 3, Hand: 2}}},
 		"just before it is forgotten": {act: func(f *fixture) { abandon(f); f.wait(withdrawMemory) }, want: first},
 		"forgotten":                   {act: func(f *fixture) { abandon(f); f.wait(withdrawMemory + 2*tick) }},
@@ -160,7 +160,7 @@
 		"to a new placer": func(f *fixture) { f.submitJob("j", "/v/j"); f.tell(0, "", placedA2) },
 		"to another data centre": func(f *fixture) {
 			f.submitJob("j", "/v/j")
-			f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndRefused})
+			f.told(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndRefused})
 		},
 		"sent again after its caller had left": func(f *fixture) {
 			f.submitJob("j", "/v/j")
--- a/msgs/fleet.go
+++ b/msgs/fleet.go
@@ -66,14 +66,16 @@
 	Hand        uint64
 }
 
-// JobEnded tells the entry host how a job ended.
+// JobEnded tells the entry host how a job ended that it has handed over.
 type JobEnded struct {
-	Job        string
-	Host       string // placer
-	Epoch      uint64
-	State      model.JobEnd
-	Reason     string
-	RetryAfter time.Duration // for a refused job
+	Job         string
+	Host        string // placer
+	Epoch       uint64
+	State       model.JobEnd
+	Reason      string
+	RetryAfter  time.Duration // for a refused job
+	Incarnation uint64        // of the entry host's process that handed it over
+	Hand        uint64        // number of the hand-over
 }
 
 // Pulse tells a placer that an entry host lives and waits for the jobs that it
--- a/placer/orders.go
+++ b/placer/orders.go
@@ -57,6 +57,7 @@
 		// An entry host that can't be reached resends the job under its id.
 		_ = n.Send(e.Host, msgs.ServiceEntry, msgs.JobEnded{
 			Job: e.Job, Host: n.Self, Epoch: n.placer.Epoch(), State: e.State, Reason: e.Reason, RetryAfter: e.RetryAfter,
+			Incarnation: e.Incarnation, Hand: e.Hand,
 		})
 	}
 	if out.Fenced {
--- /dev/null
+++ b/runs/ends_test.go
@@ -0,0 +1,60 @@
+package runs
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
+)
+
+// TestEndNamesHand has each entry host told which of its hand-overs an end answers.
+func TestEndNamesHand(t *testing.T) {
+	type told struct {
+		host              string
+		incarnation, hand uint64
+	}
+	hand := func(d *desk, host string, incarnation, number uint64) {
+		d.p.Submit(Job{
+			ID: "j", Host: host, Incarnation: incarnation, Hand: number, Service: "svc", Tasks: 1, Attempts: 3, Came: d.now,
+			Objective: time.Minute, Expires: time.Minute, Demand: model.Demand{CPU: 1000, MemoryMB: 1, Expected: 200 * time.Millisecond},
+		}, d.now)
+	}
+	tests := map[string]struct {
+		before, after func(d *desk) // the run begins and ends
+		want          []told
+	}{
+		"one hand-over": {before: func(d *desk) { hand(d, "h1", 1, 7) }, want: []told{{"h1", 1, 7}}},
+		"handed over again by its host": {
+			before: func(d *desk) { hand(d, "h1", 1, 7); hand(d, "h1", 1, 9) }, want: []told{{"h1", 1, 9}},
+		},
+		"by the host's next process": {
+			before: func(d *desk) { hand(d, "h1", 1, 7); hand(d, "h1", 2, 1) }, want: []told{{"h1", 2, 1}},
+		},
+		"by two hosts": {
+			before: func(d *desk) { hand(d, "h1", 1, 7); hand(d, "h2", 5, 3) }, want: []told{{"h1", 1, 7}, {"h2", 5, 3}},
+		},
+		"one came after its end": {
+			before: func(d *desk) { hand(d, "h1", 1, 7) }, after: func(d *desk) { hand(d, "h2", 5, 3) }, want: []told{{"h1", 1, 7}, {"h2", 5, 3}},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			tt.before(d)
+			o := d.drain().Starts[0]
+			d.p.Started(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Outcome: OutcomeTaken, Clock: 5001}, d.now)
+			d.look(o.Server.Name, nil, []Ended{{N: 1, Task: "j.0.0.0", Run: 1, How: HowDone}})
+			if tt.after != nil {
+				tt.after(d)
+			}
+			var got []told
+			for _, e := range d.drain().Ends {
+				got = append(got, told{host: e.Host, incarnation: e.Incarnation, hand: e.Hand})
+			}
+			if !slices.Equal(got, tt.want) {
+				t.Fatalf("told %+v, want %+v", got, tt.want)
+			}
+		})
+	}
+}
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -125,7 +125,10 @@
 		return
 	}
 	if e, ok := p.ended[j.ID]; ok {
-		p.out.Ends = append(p.out.Ends, End{Job: j.ID, Host: j.Host, Route: j.Route, State: e.state, Took: now.Sub(j.Came), Waited: now.Sub(j.Came)})
+		p.out.Ends = append(p.out.Ends, End{
+			Job: j.ID, Host: j.Host, Incarnation: j.Incarnation, Hand: j.Hand, Route: j.Route,
+			State: e.state, Took: now.Sub(j.Came), Waited: now.Sub(j.Came),
+		})
 		return
 	}
 	k := &job{Job: j, waiters: []waiter{p.waiterOf(j)}, tasks: make([]task, j.Tasks), open: j.Tasks, idle: j.Tasks}
@@ -196,7 +199,7 @@
 		e.RetryAfter = max(e.Wait, model.LeastRetryAfter)
 	}
 	for _, w := range j.waiters {
-		e.Host = w.host
+		e.Host, e.Incarnation, e.Hand = w.host, w.incarnation, w.hand
 		p.out.Ends = append(p.out.Ends, e)
 	}
 	if state == model.JobEndRefused {
--- a/runs/types.go
+++ b/runs/types.go
@@ -54,19 +54,21 @@
 	Fence    uint64
 }
 
-// End tells how a job ended.
+// End tells an entry host how a job ended that it has handed over.
 type End struct {
-	Job        string
-	Host       string
-	Route      string
-	State      model.JobEnd
-	Reason     string
-	RetryAfter time.Duration
-	Took       time.Duration // since the job came
-	Waited     time.Duration // of it, until the latest start of a task; all of it when one still waits
-	Wait       time.Duration // that the work ahead of it was expected to take, unless it is complete
-	Waiting    int           // jobs that waited
-	Servers    int           // backend servers that could get tasks
+	Job         string
+	Host        string
+	Incarnation uint64 // of the entry host's process that handed it over
+	Hand        uint64 // number of the hand-over
+	Route       string
+	State       model.JobEnd
+	Reason      string
+	RetryAfter  time.Duration
+	Took        time.Duration // since the job came
+	Waited      time.Duration // of it, until the latest start of a task; all of it when one still waits
+	Wait        time.Duration // that the work ahead of it was expected to take, unless it is complete
+	Waiting     int           // jobs that waited
+	Servers     int           // backend servers that could get tasks
 }
 
 // Outcome tells how an order was answered.
