Ask for the state of a caller's connection before each word of waiting

What keeps two lives of a job apart counts from the last word of the entry host that it waits, so no such word may go out for a caller that has left. A host learned that from the server's background read, once that and the handler had had their turn. A host without processor time handles messages of other hosts first: pulses said that it waits, a new placement handed the job over again, and requests that had waited in the socket began though their callers had closed the connection.

The host now asks the system for the state of the connections (a peek that takes no byte) when it reads a job, before each pulse, and before a job goes to another placer. It costs a system call for each open job and pulse. CallerGone (625) and the field Checked of CallerLeft tell the cases apart.

Ruled out: the context of the request alone. The background read is started when the body has been read, and the job reaches the entry service before that read has run.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"time"
 
 	"dogwoodrock.example/dogwoodrock/model"
@@ -16,9 +17,15 @@
 	Spec      Spec
 	Patience  time.Duration // that the caller waits, 0 when it doesn't say
 	Waiter    uint64        // names this request in an Abandon
+	Gone      func() bool   // whether the caller has closed its connection, nil where that can't be asked
 	Reply     func(Outcome)
 }
 
+// gone tells whether the caller has left, also when no Abandon has come yet.
+func (m Submit) gone() bool {
+	return m.Gone != nil && m.Gone()
+}
+
 // Spec is what a job consists of.
 type Spec struct {
 	Text        string
@@ -104,7 +111,7 @@
 	placement model.Placement
 	parked    bool            // it waits for the next placer: nobody has had it
 	tried     map[string]bool // data centres that refused it, for their load
-	waiters   map[uint64]func(Outcome)
+	waiters   map[uint64]Submit
 }
 
 const (
@@ -122,8 +129,12 @@
 		m.Reply(refusal)
 		return
 	}
+	if m.gone() {
+		n.Hooks.Gone(m.Job)
+		return
+	}
 	if j, ok := n.jobs[m.Job]; ok {
-		j.waiters[m.Waiter] = m.Reply
+		j.waiters[m.Waiter] = m
 		return
 	}
 	p, ok := n.placerFor(m.Job)
@@ -134,7 +145,7 @@
 		m.Reply(refusal)
 		return
 	}
-	j := &openJob{came: now, tried: map[string]bool{}, waiters: map[uint64]func(Outcome){m.Waiter: m.Reply}}
+	j := &openJob{came: now, tried: map[string]bool{}, waiters: map[uint64]Submit{m.Waiter: m}}
 	j.hand = n.handOf(m, route)
 	if n.leaving && now.Add(j.hand.Objective).After(n.leaveBy) {
 		refusal := Outcome{Kind: KindRefused, Reason: "this host is stopping", RetryAfter: model.LeastRetryAfter}
@@ -158,6 +169,7 @@
 	waited := now.Sub(j.came)
 	p, ok := n.placerFor(j.hand.Job)
 	switch {
+	case !n.waitedFor(j, now):
 	case waited >= j.hand.Objective, n.leaving && now.After(n.leaveBy):
 		n.answer(j, Outcome{Kind: KindRefused, Reason: noPlacer, RetryAfter: comeBack}, now)
 	case ok && waited >= parkTime:
@@ -233,7 +245,7 @@
 	case model.JobEndFailed:
 		out.Kind = KindFailed
 	case model.JobEndRefused:
-		if n.handElsewhere(j, now) {
+		if !n.waitedFor(j, now) || n.handElsewhere(j, now) {
 			return
 		}
 		out.Kind = KindRefused
@@ -271,8 +283,8 @@
 func (n *Node) answer(j *openJob, out Outcome, now time.Time) {
 	delete(n.jobs, j.hand.Job)
 	n.Hooks.Answered(j.answered(out, now))
-	for _, reply := range j.waiters {
-		reply(out)
+	for _, w := range j.waiters {
+		w.Reply(out)
 	}
 }
 
@@ -304,14 +316,36 @@
 		return
 	}
 	delete(j.waiters, m.Waiter)
+	n.leave(j, false, now)
+}
+
+// leave withdraws a job that nobody waits for any more. Checked tells that this
+// host asked whether its caller was there.
+func (n *Node) leave(j *openJob, checked bool, now time.Time) {
 	if len(j.waiters) > 0 {
 		return
 	}
-	delete(n.jobs, m.Job)
-	n.Hooks.Left(j.answered(Outcome{}, now))
+	delete(n.jobs, j.hand.Job)
+	n.Hooks.Left(j.answered(Outcome{}, now), checked)
 	n.withdraw(j, now)
 }
 
+// waitedFor tells whether a caller of a job is still there. A host that is short
+// of processor time is told late that connections were closed, and its next word
+// or hand-over would begin what has a second life elsewhere.
+func (n *Node) waitedFor(j *openJob, now time.Time) bool {
+	maps.DeleteFunc(j.waiters, func(_ uint64, w Submit) bool { return w.gone() })
+	n.leave(j, true, now)
+	return len(j.waiters) > 0
+}
+
+// checkCallers withdraws the jobs whose callers have left.
+func (n *Node) checkCallers(now time.Time) {
+	for _, j := range n.jobs {
+		n.waitedFor(j, now)
+	}
+}
+
 func (n *Node) cancel(m Cancel, now time.Time) {
 	if kind := n.lookUp(m.Authority, m.Path); kind != KindFound {
 		m.Reply(kind)
--- a/entry/node.go
+++ b/entry/node.go
@@ -44,7 +44,8 @@
 	Taken    func(job Submit, route routes.Route, placer string, epoch uint64)
 	Rehanded func(job, placer string, epoch uint64)
 	Answered func(a Answered)
-	Left     func(a Answered) // without Outcome
+	Left     func(a Answered, checked bool) // without Outcome; whether the connection was checked
+	Gone     func(job string)               // a request was read after its caller had left
 }
 
 // Answered tells how an entry host was done with a job.
@@ -290,7 +291,7 @@
 		_ = n.Send(n.Self, msgs.ServicePlacer, placer.Placed{Placement: p}) // on this host
 	}
 	for _, j := range n.jobs {
-		if j.placement.DataCentre == p.DataCentre && !j.parked {
+		if j.placement.DataCentre == p.DataCentre && !j.parked && n.waitedFor(j, now) {
 			n.hand(j, p, true, now)
 			n.Hooks.Rehanded(j.hand.Job, p.Host, p.Epoch)
 		}
@@ -301,6 +302,7 @@
 // pulse asks the placers that this host needs whether they live.
 func (n *Node) pulse(now time.Time) {
 	n.pulseAt = now.Add(pulseInterval)
+	n.checkCallers(now)
 	needed := map[string]bool{}
 	own, ok := n.placements[n.DataCentre]
 	for _, p := range n.placements {
@@ -384,6 +386,7 @@
 	n.handParked(m.Host, now)
 	pulsed := n.placements[n.DataCentre].Host == m.Host && n.learnTable(m, now)
 	if m.Ask && !pulsed {
+		n.checkCallers(now)
 		n.pulseTo(m.Host, now)
 	}
 }
@@ -401,7 +404,7 @@
 // which host was placed last may have been told by a core that is behind.
 func (n *Node) handParked(host string, now time.Time) {
 	for _, j := range n.jobs {
-		if p := n.placements[j.placement.DataCentre]; j.parked && p.Host == host {
+		if p := n.placements[j.placement.DataCentre]; j.parked && p.Host == host && n.waitedFor(j, now) {
 			n.hand(j, p, false, now)
 		}
 	}
--- a/entry/node_test.go
+++ b/entry/node_test.go
@@ -36,7 +36,7 @@
 			InForce: func(uint64) {}, Rejected: func(uint64, error) {}, Placed: func(model.Placement) {},
 			Core: func(bool, string) {}, Placer: func(bool, string, uint64) {},
 			Taken:    func(Submit, routes.Route, string, uint64) {},
-			Rehanded: func(string, string, uint64) {}, Answered: func(Answered) {}, Left: func(Answered) {},
+			Rehanded: func(string, string, uint64) {}, Answered: func(Answered) {}, Left: func(Answered, bool) {}, Gone: func(string) {},
 		},
 		Send: func(to, service string, body any) error {
 			f.sent = append(f.sent, msgs.Envelope{To: to, Service: service, Body: body})
--- a/events/hosted.go
+++ b/events/hosted.go
@@ -95,15 +95,20 @@
 		Action:  "Refused: see the reason. Unknown: look for the job's lines on its placer.",
 	}
 	CallerLeft = Event{
-		Code: 623, Name: "CallerLeft", Level: zerolog.InfoLevel, Fields: []string{"Job", "Placer", "TookMs"},
-		Meaning: "A caller left before its job had ended. The job is withdrawn.",
-		Action:  "None.",
+		Code: 623, Name: "CallerLeft", Level: zerolog.InfoLevel, Fields: []string{"Job", "Placer", "TookMs", "Checked"},
+		Meaning: "A caller left before its job had ended. The job is withdrawn. Checked: the host asked for the state of the connection before the listener had noticed.",
+		Action:  "None; when most are Checked, the host is short of processor time.",
 	}
 	JobMalformed = Event{
 		Code: 624, Name: "JobMalformed", Level: zerolog.WarnLevel, Fields: []string{"Path", "Error"},
 		Meaning: "A caller sent a job that can't be read.",
 		Action:  "Tell the caller what the error names.",
 	}
+	CallerGone = Event{
+		Code: 625, Name: "CallerGone", Level: zerolog.InfoLevel, Fields: []string{"Job"},
+		Meaning: "A request was read after its caller had closed the connection. Nothing was run.",
+		Action:  "None, unless it repeats: then the host is short of processor time.",
+	}
 	PlacingBegan = Event{
 		Code: 630, Name: "PlacingBegan", Level: zerolog.InfoLevel, Fields: []string{"DataCentre", "Epoch", "Servers"},
 		Meaning: "This host places the runs of its data centre from now on.",
@@ -166,7 +171,7 @@
 	return []Event{
 		CoreLeading, CoreJoined, RoutesCommitted, RoutesRefused, PlacementCommitted, DiskFailed, DiskFull, DiskHasRoom,
 		RoutesInForce, RoutesUnreadable, CoreReached, CoreUnreached, PlacerKnown, PlacerSilent, PlacerAnswers,
-		JobTaken, JobRehanded, JobAnswered, CallerLeft, JobMalformed,
+		JobTaken, JobRehanded, JobAnswered, CallerLeft, JobMalformed, CallerGone,
 		PlacingBegan, PlacingEnded, JobHanded, JobPlaced, RunChanged, ServerChanged, OrderUnanswered, ReportMalformed, PlacingSettled,
 		SettingsReloaded, SettingsKept,
 	}
--- a/hosted/hooks.go
+++ b/hosted/hooks.go
@@ -90,9 +90,11 @@
 			h.Log.At(unless(out.Kind == entry.KindComplete, events.JobAnswered)).Str("Job", a.Job).Str("Route", a.Route).Str("Placer", a.Placer).
 				Stringer("Outcome", out.Kind).Str("Reason", out.Reason).Int64("TookMs", a.Took.Milliseconds()).Send()
 		},
-		Left: func(a entry.Answered) {
-			h.Log.At(events.CallerLeft).Str("Job", a.Job).Str("Placer", a.Placer).Int64("TookMs", a.Took.Milliseconds()).Send()
+		Left: func(a entry.Answered, checked bool) {
+			h.Log.At(events.CallerLeft).Str("Job", a.Job).Str("Placer", a.Placer).Int64("TookMs", a.Took.Milliseconds()).
+				Bool("Checked", checked).Send()
 		},
+		Gone: func(job string) { h.Log.At(events.CallerGone).Str("Job", job).Send() },
 	}
 }
 
--- a/hosted/listen.go
+++ b/hosted/listen.go
@@ -45,6 +45,7 @@
 				return err
 			}
 			server = newServer(counting(handler, &open))
+			server.ConnContext = withConn
 			server.ConnState = func(_ net.Conn, state http.ConnState) { countConn(&conns, state) }
 			t.Go(func(context.Context) { _ = server.Serve(listener) })
 			return nil
--- a/trace/story.go
+++ b/trace/story.go
@@ -23,6 +23,7 @@
 	events.JobAnswered.Code:  1,
 	events.JobRehanded.Code:  4,
 	events.CallerLeft.Code:   3,
+	events.CallerGone.Code:   3,
 	events.PlacerSilent.Code: 5,
 }
 
@@ -59,7 +60,7 @@
 	hosts := map[string]bool{}
 	for _, l := range lines {
 		switch l.Event {
-		case events.JobTaken.Code, events.JobAnswered.Code, events.CallerLeft.Code, events.JobRehanded.Code:
+		case events.JobTaken.Code, events.JobAnswered.Code, events.CallerLeft.Code, events.CallerGone.Code, events.JobRehanded.Code:
 			hosts[l.Host] = true
 		}
 	}
