Don't take the time in which a host stood still for silence of others

A traced one: entry host b-2 was slowed and handled messages only each 0.3 to 0.4 s, from 21.9 to 23.3. Connections to it were reset at 23.15, before it had read their requests; their callers sent them again at once, to b-4, b-9 and b-10, which handed them to the placer of the data centre. b-2 read the first copies at 23.302. It had taken that placer and three others for silent (at 22.698 and 23.250), though only its own turns had been missing, and handed the copies to the data centres a and d, where they ran beside the others from 23.402. The one copy that it read 6 ms later, after the answers that had waited in its sockets, went to its own placer, which knew the job.

A host now notices that it stood still (no message and no tick for 0.2 s) and lets that time count neither as silence of a placer or of the core, nor as the wait of a job for the next placer. Jobs whose time went by meanwhile are given up before the messages that waited are handled: a new placement handed them over again, and the next pulse said that the host waits.

Ruled out: the resend time. These copies came 0.01 to 0.9 s after the first ones, not 1.3 s, so no lease could have kept them apart; only their placer can, when both copies reach the same one.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -110,6 +110,7 @@
 	expires   time.Time
 	placement model.Placement
 	parked    bool            // it waits for the next placer: nobody has had it
+	parkedAt  time.Time       // since when
 	tried     map[string]bool // data centres that refused it, for their load
 	waiters   map[uint64]Submit
 }
@@ -157,7 +158,7 @@
 	n.jobs[m.Job] = j
 	n.Hooks.Taken(m, route, p.Host, p.Epoch)
 	if park {
-		j.placement, j.parked = n.placements[n.DataCentre], true
+		j.placement, j.parked, j.parkedAt = n.placements[n.DataCentre], true, now
 		return
 	}
 	n.hand(j, p, false, now)
@@ -172,7 +173,7 @@
 	case !n.waitedFor(j, now):
 	case waited >= j.hand.Objective, n.leaving && now.After(n.leaveBy):
 		n.answer(j, Outcome{Kind: KindRefused, Reason: noPlacer, RetryAfter: comeBack}, now)
-	case ok && waited >= parkTime:
+	case ok && now.Sub(j.parkedAt) >= parkTime:
 		n.hand(j, p, false, now)
 	}
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -85,6 +85,7 @@
 	leaving  bool
 	leaveBy  time.Time
 	pulseAt  time.Time
+	last     time.Time // input
 }
 
 // placerState is a placer as its pulses show it.
@@ -142,11 +143,13 @@
 	n.jobs = map[string]*openJob{}
 	n.withdrawn = map[string][]withdrawn{}
 	n.heard = n.Now()
+	n.last = n.heard
 }
 
 // Handle takes one message.
 func (n *Node) Handle(msg any) {
 	now := n.Now()
+	n.awake(now)
 	switch m := msg.(type) {
 	case Submit:
 		n.submit(m, now)
@@ -177,6 +180,7 @@
 // Tick does what is due by time.
 func (n *Node) Tick() {
 	now := n.Now()
+	n.awake(now)
 	n.forget(now)
 	if !now.Before(n.renewAt) {
 		n.renew(now)
@@ -184,10 +188,19 @@
 	if !now.Before(n.pulseAt) {
 		n.pulse(now)
 	}
+	n.expire(now)
+	for _, j := range n.jobs {
+		if j.parked {
+			n.unpark(j, now)
+		}
+	}
+}
+
+// expire gives up the jobs that their placers don't end in time.
+func (n *Node) expire(now time.Time) {
 	for _, j := range n.jobs {
 		switch {
 		case j.parked:
-			n.unpark(j, now)
 		case now.After(j.expires.Add(answerSlack)):
 			n.giveUp(j, "its placer has not told how it ended", now)
 		case n.leaving && now.After(n.leaveBy):
