Hold what becomes of two callers while the placer changes

One caller that leaves withdraws nothing, the last one withdraws the latest hand-over, and the placer before gets no pulse that returns its stamps, so its leases end with the last word that it had. The cases passed at once: the suspicion that an earlier placer goes on counting this host as waiting is ruled out for them.

--- a/entry/waiting_test.go
+++ b/entry/waiting_test.go
@@ -192,3 +192,58 @@
 		})
 	}
 }
+
+// TestTwoCallers has two callers send one job to this host, and the placer change
+// as one of them leaves.
+func TestTwoCallers(t *testing.T) {
+	send := func(f *fixture, waiter uint64) {
+		f.Handle(Submit{
+			Authority: "x.example", Path: "/v/j", Job: "j", Patience: 2 * time.Second, Waiter: waiter,
+			Spec: Spec{Text: "t", Tasks: 2, Demand: model.Demand{CPU: 100, Expected: time.Second}}, Reply: func(Outcome) {},
+		})
+	}
+	tests := map[string]struct {
+		act       func(f *fixture)
+		withdrawn map[string]uint64 // hand-overs that are withdrawn, by placer
+	}{
+		"the first one leaves before": {act: func(f *fixture) { f.Handle(Abandon{Job: "j", Waiter: 1}); f.tell(0, "", placedA2) }},
+		"the first one leaves after":  {act: func(f *fixture) { f.tell(0, "", placedA2); f.Handle(Abandon{Job: "j", Waiter: 1}) }},
+		"one leaves twice": {act: func(f *fixture) {
+			f.Handle(Abandon{Job: "j", Waiter: 2})
+			f.tell(0, "", placedA2)
+			f.Handle(Abandon{Job: "j", Waiter: 2})
+		}},
+		"both leave": {act: func(f *fixture) {
+			f.Handle(Abandon{Job: "j", Waiter: 1})
+			f.tell(0, "", placedA2)
+			f.Handle(Abandon{Job: "j", Waiter: 2})
+		}, withdrawn: map[string]uint64{"p2": 2}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.tell(2, "v", placedA, placedB)
+			send(f, 1)
+			send(f, 2)
+			tt.act(f)
+			if hands := f.hands(); len(hands) != 2 || hands[1].Host != "p2" || !hands[1].Again {
+				t.Fatalf("hand-overs %+v, want one to each placer", hands)
+			}
+			got := map[string]uint64{}
+			for _, e := range f.sent {
+				if m, ok := e.Body.(msgs.JobWithdraw); ok {
+					got[e.To] = m.Hand
+				}
+			}
+			if !maps.Equal(got, tt.withdrawn) {
+				t.Errorf("withdrawn %v, want %v", got, tt.withdrawn)
+			}
+			f.sent = nil
+			f.Handle(msgs.Pulsed{Host: "p1", Incarnation: 1, Epoch: placedA.Epoch, Stamp: time.Second, Ask: true})
+			f.wait(2 * pulseInterval)
+			if n := len(f.pulses()["p1"]); n != 0 {
+				t.Errorf("%d pulses to the placer before, which holds the first hand-over", n)
+			}
+		})
+	}
+}
