End the handler of a caller whose connection was found closed

So the context of such a request may never end, and its handler would wait on, which also holds up a planned stop.

Whoever is found gone now gets a reply: not run for a request that was just read, unknown for a job that was handed over. entry.TestCallerGone asks for it, and failed before.

--- a/entry/gone_test.go
+++ b/entry/gone_test.go
@@ -12,12 +12,12 @@
 // TestCallerGone has a caller close its connection, which the listener hasn't
 // noticed yet.
 func TestCallerGone(t *testing.T) {
-	gone := map[uint64]bool{}
+	gone, replies := map[uint64]bool{}, map[uint64][]Kind{}
 	submit := func(f *fixture, waiter uint64) {
 		f.Handle(Submit{
 			Authority: "x.example", Path: "/v/j", Job: "j", Patience: 2 * time.Second, Waiter: waiter,
 			Spec: Spec{Text: "t", Tasks: 2, Demand: model.Demand{CPU: 100, Expected: time.Second}},
-			Gone: func() bool { return gone[waiter] }, Reply: func(Outcome) {},
+			Gone: func() bool { return gone[waiter] }, Reply: func(o Outcome) { replies[waiter] = append(replies[waiter], o.Kind) },
 		})
 	}
 	leave := func(waiters ...uint64) {
@@ -86,6 +86,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			clear(gone)
+			clear(replies)
 			f := newFixture()
 			f.tell(2, "v", placedA, placedB)
 			tt.act(f)
@@ -105,6 +106,11 @@
 			if tt.withdrawn != nil && !slices.Equal(listed, tt.withdrawn) {
 				t.Errorf("the last pulse lists %v as withdrawn, want %v", listed, tt.withdrawn)
 			}
+			for w := range gone {
+				if len(replies[w]) != 1 || replies[w][0] == KindComplete {
+					t.Errorf("replies %v to waiter %d, want one, so that its handler ends", replies[w], w)
+				}
+			}
 			if len(f.jobs) != tt.open {
 				t.Errorf("%d open jobs, want %d", len(f.jobs), tt.open)
 			}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"maps"
 	"time"
 
 	"dogwoodrock.example/dogwoodrock/model"
@@ -120,7 +119,8 @@
 	longPatience  = time.Minute // of a caller that doesn't say how long it waits
 	leastPatience = 10 * time.Millisecond
 
-	noPlacer = "no data centre has a placer that can be reached"
+	noPlacer   = "no data centre has a placer that can be reached"
+	callerLeft = "its caller has closed the connection"
 )
 
 func (n *Node) submit(m Submit, now time.Time) {
@@ -132,6 +132,7 @@
 	}
 	if m.gone() {
 		n.Hooks.Gone(m.Job)
+		m.Reply(Outcome{Kind: KindRefused, Reason: callerLeft, RetryAfter: model.LeastRetryAfter})
 		return
 	}
 	if j, ok := n.jobs[m.Job]; ok {
@@ -333,9 +334,15 @@
 
 // waitedFor tells whether a caller of a job is still there. A host that is short
 // of processor time is told late that connections were closed, and its next word
-// or hand-over would begin what has a second life elsewhere.
+// or hand-over would begin what has a second life elsewhere. Who has left gets a
+// reply, too, which ends the handler of its request.
 func (n *Node) waitedFor(j *openJob, now time.Time) bool {
-	maps.DeleteFunc(j.waiters, func(_ uint64, w Submit) bool { return w.gone() })
+	for id, w := range j.waiters {
+		if w.gone() {
+			delete(j.waiters, id)
+			w.Reply(Outcome{Kind: KindUnknown, Reason: callerLeft})
+		}
+	}
 	n.leave(j, true, now)
 	return len(j.waiters) > 0
 }
