--- a/placer/waiting_test.go
+++ b/placer/waiting_test.go
@@ -259,3 +259,23 @@
 		})
 	}
 }
+
+// TestEndNamesHand has a job that no backend server can run in time.
+func TestEndNamesHand(t *testing.T) {
+	w := newWaiting()
+	var ends []msgs.JobEnded
+	w.Send = func(_, _ string, body any) error {
+		if m, ok := body.(msgs.JobEnded); ok {
+			ends = append(ends, m)
+		}
+		return nil
+	}
+	w.hand(msgs.JobHand{
+		Job: "j", Host: "h1", Incarnation: 3, Epoch: waitEpoch, Tasks: 1, Hand: 7, Objective: tick, Expires: tick,
+	}, w.now)
+	w.now = w.now.Add(10 * tick)
+	w.tick(w.now)
+	if len(ends) != 1 || ends[0].Hand != 7 || ends[0].Incarnation != 3 || ends[0].Epoch != waitEpoch {
+		t.Fatalf("ends %+v, want one of hand-over 7 by process 3", ends)
+	}
+}
