--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -16,9 +16,15 @@
 	Spec      Spec
 	Patience  time.Duration // that the caller waits, 0 when it doesn't say
 	Waiter    uint64        // names this request in an Abandon
+	Gone      func() bool   // whether the caller has closed its connection, nil where that can't be asked
 	Reply     func(Outcome)
 }
 
+// gone tells whether the caller has left, also when no Abandon has come yet.
+func (m Submit) gone() bool {
+	return m.Gone != nil && m.Gone()
+}
+
 // Spec is what a job consists of.
 type Spec struct {
 	Text        string
@@ -103,8 +109,9 @@
 	expires   time.Time
 	placement model.Placement
 	parked    bool            // it waits for the next placer: nobody has had it
+	parkedAt  time.Time       // since when
 	tried     map[string]bool // data centres that refused it, for their load
-	waiters   map[uint64]func(Outcome)
+	waiters   map[uint64]Submit
 }
 
 const (
@@ -112,7 +119,8 @@
 	longPatience  = time.Minute // of a caller that doesn't say how long it waits
 	leastPatience = 10 * time.Millisecond
 
-	noPlacer = "no data centre has a placer that can be reached"
+	noPlacer   = "no data centre has a placer that can be reached"
+	callerLeft = "its caller has closed the connection"
 )
 
 func (n *Node) submit(m Submit, now time.Time) {
@@ -122,8 +130,13 @@
 		m.Reply(refusal)
 		return
 	}
+	if m.gone() {
+		n.Hooks.Gone(m.Job)
+		m.Reply(Outcome{Kind: KindRefused, Reason: callerLeft, RetryAfter: model.LeastRetryAfter})
+		return
+	}
 	if j, ok := n.jobs[m.Job]; ok {
-		j.waiters[m.Waiter] = m.Reply
+		j.waiters[m.Waiter] = m
 		return
 	}
 	p, ok := n.placerFor(m.Job)
@@ -134,7 +147,7 @@
 		m.Reply(refusal)
 		return
 	}
-	j := &openJob{came: now, tried: map[string]bool{}, waiters: map[uint64]func(Outcome){m.Waiter: m.Reply}}
+	j := &openJob{came: now, tried: map[string]bool{}, waiters: map[uint64]Submit{m.Waiter: m}}
 	j.hand = n.handOf(m, route)
 	if n.leaving && now.Add(j.hand.Objective).After(n.leaveBy) {
 		refusal := Outcome{Kind: KindRefused, Reason: "this host is stopping", RetryAfter: model.LeastRetryAfter}
@@ -146,7 +159,7 @@
 	n.jobs[m.Job] = j
 	n.Hooks.Taken(m, route, p.Host, p.Epoch)
 	if park {
-		j.placement, j.parked = n.placements[n.DataCentre], true
+		j.placement, j.parked, j.parkedAt = n.placements[n.DataCentre], true, now
 		return
 	}
 	n.hand(j, p, false, now)
@@ -158,9 +171,10 @@
 	waited := now.Sub(j.came)
 	p, ok := n.placerFor(j.hand.Job)
 	switch {
+	case !n.waitedFor(j, now):
 	case waited >= j.hand.Objective, n.leaving && now.After(n.leaveBy):
 		n.answer(j, Outcome{Kind: KindRefused, Reason: noPlacer, RetryAfter: comeBack}, now)
-	case ok && waited >= parkTime:
+	case ok && now.Sub(j.parkedAt) >= parkTime:
 		n.hand(j, p, false, now)
 	}
 }
@@ -212,24 +226,28 @@
 	}
 }
 
-// ended takes the placer's word. One of an earlier epoch counts too: it tells
-// what became of runs that it had started.
+// ended takes the placer's word on the latest hand-over of a job. One on an
+// earlier hand-over comes late: only that the job is complete still holds.
 func (n *Node) ended(m msgs.JobEnded, now time.Time) {
 	j, ok := n.jobs[m.Job]
-	if !ok || (m.State != model.JobEndComplete && m.Epoch != j.placement.Epoch) {
+	if !ok {
+		return
+	}
+	latest := m.Epoch == j.placement.Epoch && m.Hand == j.hand.Hand && m.Incarnation == n.Incarnation
+	if !latest && m.State != model.JobEndComplete {
 		return
 	}
 	out := Outcome{Reason: m.Reason, RetryAfter: m.RetryAfter}
 	switch m.State {
 	case model.JobEndComplete:
 		out.Kind = KindComplete
-		if m.Epoch != j.placement.Epoch {
+		if !latest {
 			n.withdraw(j, now) // from the placer that it was handed to since
 		}
 	case model.JobEndFailed:
 		out.Kind = KindFailed
 	case model.JobEndRefused:
-		if n.handElsewhere(j, now) {
+		if !n.waitedFor(j, now) || n.handElsewhere(j, now) {
 			return
 		}
 		out.Kind = KindRefused
@@ -267,8 +285,8 @@
 func (n *Node) answer(j *openJob, out Outcome, now time.Time) {
 	delete(n.jobs, j.hand.Job)
 	n.Hooks.Answered(j.answered(out, now))
-	for _, reply := range j.waiters {
-		reply(out)
+	for _, w := range j.waiters {
+		w.Reply(out)
 	}
 }
 
@@ -300,14 +318,42 @@
 		return
 	}
 	delete(j.waiters, m.Waiter)
+	n.leave(j, false, now)
+}
+
+// leave withdraws a job that nobody waits for any more. Checked tells that this
+// host asked whether its caller was there.
+func (n *Node) leave(j *openJob, checked bool, now time.Time) {
 	if len(j.waiters) > 0 {
 		return
 	}
-	delete(n.jobs, m.Job)
-	n.Hooks.Left(j.answered(Outcome{}, now))
+	delete(n.jobs, j.hand.Job)
+	n.Hooks.Left(j.answered(Outcome{}, now), checked)
 	n.withdraw(j, now)
 }
 
+// waitedFor tells whether a caller of a job is still there. A host that is short
+// of processor time is told late that connections were closed, and its next word
+// or hand-over would begin what has a second life elsewhere. Who has left gets a
+// reply, too, which ends the handler of its request.
+func (n *Node) waitedFor(j *openJob, now time.Time) bool {
+	for id, w := range j.waiters {
+		if w.gone() {
+			delete(j.waiters, id)
+			w.Reply(Outcome{Kind: KindUnknown, Reason: callerLeft})
+		}
+	}
+	n.leave(j, true, now)
+	return len(j.waiters) > 0
+}
+
+// checkCallers withdraws the jobs whose callers have left.
+func (n *Node) checkCallers(now time.Time) {
+	for _, j := range n.jobs {
+		n.waitedFor(j, now)
+	}
+}
+
 func (n *Node) cancel(m Cancel, now time.Time) {
 	if kind := n.lookUp(m.Authority, m.Path); kind != KindFound {
 		m.Reply(kind)
--- a/entry/node.go
+++ b/entry/node.go
@@ -44,7 +44,8 @@
 	Taken    func(job Submit, route routes.Route, placer string, epoch uint64)
 	Rehanded func(job, placer string, epoch uint64)
 	Answered func(a Answered)
-	Left     func(a Answered) // without Outcome
+	Left     func(a Answered, checked bool) // without Outcome; whether the connection was checked
+	Gone     func(job string)               // a request was read after its caller had left
 }
 
 // Answered tells how an entry host was done with a job.
@@ -84,6 +85,7 @@
 	leaving  bool
 	leaveBy  time.Time
 	pulseAt  time.Time
+	last     time.Time // input
 }
 
 // placerState is a placer as its pulses show it.
@@ -141,11 +143,13 @@
 	n.jobs = map[string]*openJob{}
 	n.withdrawn = map[string][]withdrawn{}
 	n.heard = n.Now()
+	n.last = n.heard
 }
 
 // Handle takes one message.
 func (n *Node) Handle(msg any) {
 	now := n.Now()
+	n.awake(now)
 	switch m := msg.(type) {
 	case Submit:
 		n.submit(m, now)
@@ -176,6 +180,7 @@
 // Tick does what is due by time.
 func (n *Node) Tick() {
 	now := n.Now()
+	n.awake(now)
 	n.forget(now)
 	if !now.Before(n.renewAt) {
 		n.renew(now)
@@ -183,10 +188,19 @@
 	if !now.Before(n.pulseAt) {
 		n.pulse(now)
 	}
+	n.expire(now)
+	for _, j := range n.jobs {
+		if j.parked {
+			n.unpark(j, now)
+		}
+	}
+}
+
+// expire gives up the jobs that their placers don't end in time.
+func (n *Node) expire(now time.Time) {
 	for _, j := range n.jobs {
 		switch {
 		case j.parked:
-			n.unpark(j, now)
 		case now.After(j.expires.Add(answerSlack)):
 			n.giveUp(j, "its placer has not told how it ended", now)
 		case n.leaving && now.After(n.leaveBy):
@@ -290,7 +304,7 @@
 		_ = n.Send(n.Self, msgs.ServicePlacer, placer.Placed{Placement: p}) // on this host
 	}
 	for _, j := range n.jobs {
-		if j.placement.DataCentre == p.DataCentre && !j.parked {
+		if j.placement.DataCentre == p.DataCentre && !j.parked && n.waitedFor(j, now) {
 			n.hand(j, p, true, now)
 			n.Hooks.Rehanded(j.hand.Job, p.Host, p.Epoch)
 		}
@@ -301,6 +315,7 @@
 // pulse asks the placers that this host needs whether they live.
 func (n *Node) pulse(now time.Time) {
 	n.pulseAt = now.Add(pulseInterval)
+	n.checkCallers(now)
 	needed := map[string]bool{}
 	own, ok := n.placements[n.DataCentre]
 	for _, p := range n.placements {
@@ -400,6 +415,7 @@
 	n.handParked(m.Host, now)
 	pulsed := n.placements[n.DataCentre].Host == m.Host && n.learnTable(m, now)
 	if m.Ask && !pulsed {
+		n.checkCallers(now)
 		n.pulseTo(m.Host, now)
 	}
 }
@@ -417,7 +433,7 @@
 // which host was placed last may have been told by a core that is behind.
 func (n *Node) handParked(host string, now time.Time) {
 	for _, j := range n.jobs {
-		if p := n.placements[j.placement.DataCentre]; j.parked && p.Host == host {
+		if p := n.placements[j.placement.DataCentre]; j.parked && p.Host == host && n.waitedFor(j, now) {
 			n.hand(j, p, false, now)
 		}
 	}
--- a/hosted/listen.go
+++ b/hosted/listen.go
@@ -47,6 +47,7 @@
 			}
 			front = door{listener: listener}
 			server = newServer(counting(handler, &open))
+			server.ConnContext = withConn
 			server.ConnState = func(_ net.Conn, state http.ConnState) { countConn(&conns, state) }
 			t.Go(func(context.Context) { _ = server.Serve(listener) })
 			return nil
