Raise the fence of a server that has restarted

What callers saw: a task may run twice at once. A start that got no answer is stopped, and its task begins on another server. When the first server then restarts under its name, it knows neither the stop nor a fence, and carries the start out seconds late beside the second run. An order under the epoch of the placer passed for a later one.

Change: the fences of an epoch are a range. A placer raises the fence of a server when another process runs under its name, or when it is new in the table, so the first look at the process bars all that was ordered before, by this placer or an earlier one. An answer to a look that shows the new process leads to another look before the server is used. Answers to orders of before the restart are not taken for answers of the new process, and a refusal for a fence that this placer has raised itself doesn't end it.

Weighed: stops of every start without an answer at the new process, which need a list of them and an answer each, and don't bar late looks.

Not barred: an order that reaches a new process before its first look does.

--- /dev/null
+++ b/runs/fence.go
@@ -0,0 +1,21 @@
+package runs
+
+// fenceSteps is how many fences belong to an epoch. Both fit into the 53 bits of
+// a JSON number, for 33 million epochs and years of orders that get lost.
+const fenceSteps = 1 << 28
+
+// raise lets the server refuse all earlier orders once it has seen the next one.
+func (p *Placer) raise(s *server) {
+	p.raised = min(p.raised+1, fenceSteps-1)
+	s.fence = p.epoch*fenceSteps + p.raised
+}
+
+// fencedOff takes the refusal of an order for its fence. It returns false when a
+// later order of this placer has raised the fence meanwhile.
+func (p *Placer) fencedOff(s *server, fence uint64) bool {
+	if fence < s.fence {
+		return false
+	}
+	p.out.Fenced = true
+	return true
+}
--- /dev/null
+++ b/runs/fence_test.go
@@ -0,0 +1,144 @@
+package runs
+
+import (
+	"testing"
+	"time"
+)
+
+// unanswered orders a start on a server, which it returns with the start, that gets
+// no answer. It is stopped there, and the task begins on the other server.
+func unanswered(d *desk) (string, Start) {
+	d.submit("j", "h1")
+	first := d.drain().Starts[0]
+	name := first.Server.Name
+	d.p.Started(Answer{Server: name, Task: first.Task, Run: first.Run, Fence: first.Fence, Outcome: OutcomeUnknown}, d.now)
+	for range 5 {
+		d.now = d.now.Add(20 * time.Millisecond)
+		d.p.Waits("h1", d.now)
+		d.p.Tick(d.now)
+		d.drain()
+		for _, o := range d.out.Stops {
+			d.p.Stopped(Answer{Server: name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: OutcomeTaken, Clock: 5100}, d.now)
+		}
+		for _, o := range d.out.Looks {
+			d.look(o.Server.Name, nil, nil)
+		}
+		for _, o := range d.out.Starts {
+			d.p.Started(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: OutcomeTaken, Clock: 5100}, d.now)
+			return name, first
+		}
+	}
+	d.t.Fatal("the task doesn't begin again")
+	return "", Start{}
+}
+
+// TestLateStartAfterRestart restarts a server that was ordered a start which may
+// still arrive: its new process has to refuse it before anything else happens.
+func TestLateStartAfterRestart(t *testing.T) {
+	tests := map[string]func(d *desk, name string){
+		"its report comes first": func(d *desk, name string) {
+			for _, m := range d.servers {
+				if m.Name == name {
+					m.Born, m.Seq = 2, 1
+					d.p.Report(m, d.now)
+				}
+			}
+		},
+		"the answer to a look comes first": func(d *desk, name string) {
+			s := d.p.servers[name]
+			s.lookNow = true
+			o := d.drain().Looks[0]
+			d.p.Looked(Seen{Server: name, Born: 2, Seq: o.Seq, Fence: o.Fence, Outcome: OutcomeTaken, Clock: 7, Sent: d.now}, d.now)
+			if s.usable(d.now) {
+				d.t.Fatal("the server is used though its new process hasn't seen a higher fence")
+			}
+		},
+		"it was forgotten meanwhile": func(d *desk, name string) {
+			s := d.p.servers[name]
+			d.p.lose(s, "not heard of")
+			for _, m := range d.servers {
+				if m.Name == name {
+					m.Born, m.Seq = 2, 1
+					d.p.Report(m, d.now)
+				}
+			}
+		},
+	}
+	for name, restart := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			server, late := unanswered(d)
+			restart(d, server)
+			for _, o := range d.drain().Looks {
+				if o.Server.Name == server {
+					if o.Fence <= late.Fence {
+						t.Fatalf("the new process is looked at under fence %d, so it carries out the start under %d", o.Fence, late.Fence)
+					}
+					return
+				}
+			}
+			t.Fatal("the new process isn't looked at")
+		})
+	}
+}
+
+// TestAnswerOfFormerProcess has a server answer a start and restart before the
+// answer comes.
+func TestAnswerOfFormerProcess(t *testing.T) {
+	d := newDesk(t)
+	d.submit("j", "h1")
+	o := d.drain().Starts[0]
+	m := d.servers[0]
+	if m.Name != o.Server.Name {
+		m = d.servers[1]
+	}
+	m.Born, m.Seq = 2, 1
+	d.p.Report(m, d.now)
+	d.p.Started(Answer{Server: m.Name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: OutcomeTaken, Clock: 486000}, d.now)
+	if s := d.p.servers[m.Name]; s.clock != 0 || s.runs[o.Task].state != stateDoubtful {
+		t.Fatalf("clock %d, state %v after the answer of the process before", s.clock, s.runs[o.Task].state)
+	}
+}
+
+// TestFenceRaisedMeanwhile has an order refused since a later one of the same placer
+// came first.
+func TestFenceRaisedMeanwhile(t *testing.T) {
+	tests := map[string]struct {
+		later  bool // a later placer has refused it
+		fenced bool
+	}{
+		"by this placer": {},
+		"by a later one": {later: true, fenced: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			d.submit("j", "h1")
+			o := d.drain().Starts[0]
+			if !tt.later {
+				d.p.raise(d.p.servers[o.Server.Name])
+			}
+			d.p.Started(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: OutcomeFenced, Clock: 5001}, d.now)
+			if out := d.drain(); out.Fenced != tt.fenced {
+				t.Fatalf("fenced off %v, want %v", out.Fenced, tt.fenced)
+			}
+		})
+	}
+}
+
+// TestFencesOfEpochs holds that the first fence of an epoch is above all of the one
+// before, and that fences fit into a JSON number.
+func TestFencesOfEpochs(t *testing.T) {
+	last, next := New(7, true, time.Unix(1000, 0)), New(8, true, time.Unix(1000, 0))
+	last.raised = fenceSteps
+	a, b := &server{}, &server{}
+	last.raise(a)
+	next.raise(b)
+	if a.fence >= b.fence {
+		t.Fatalf("epoch 7 orders under %d, epoch 8 under %d", a.fence, b.fence)
+	}
+	const epochs, exact = 1 << 25, 1 << 53
+	if epochs*fenceSteps > exact {
+		t.Fatalf("%d epochs of %d fences are more than a JSON number tells apart", epochs, fenceSteps)
+	}
+}
--- a/runs/look.go
+++ b/runs/look.go
@@ -15,17 +15,7 @@
 		s.looking = 0
 	}
 	s.looked = m.Seq
-	switch m.Outcome {
-	case OutcomeTaken:
-	case OutcomeFenced:
-		p.out.Fenced = true
-		s.retryAt = now.Add(lookRetry)
-		return
-	case OutcomeGone:
-		p.lose(s, "another process answers")
-		return
-	default:
-		p.noAnswer(s, m.Outcome, now)
+	if !p.lookTaken(s, m, now) {
 		return
 	}
 	if s.silent {
@@ -35,6 +25,7 @@
 	s.acked = s.told
 	if m.Born != 0 && m.Born != s.Born {
 		p.reborn(s, m.Born)
+		return // the next look bars what was ordered before
 	}
 	s.learnClock(m.Clock, now)
 	first := !s.known
@@ -51,6 +42,23 @@
 	p.compare(s, m, first, now)
 }
 
+// lookTaken tells whether the server has answered what was asked.
+func (p *Placer) lookTaken(s *server, m Seen, now time.Time) bool {
+	switch m.Outcome {
+	case OutcomeTaken:
+		return true
+	case OutcomeFenced:
+		if p.fencedOff(s, m.Fence) {
+			s.retryAt = now.Add(lookRetry)
+		}
+	case OutcomeGone:
+		p.lose(s, "another process answers")
+	default:
+		p.noAnswer(s, m.Outcome, now)
+	}
+	return false
+}
+
 func (p *Placer) noAnswer(s *server, o Outcome, now time.Time) {
 	p.unsureUntil = now.Add(unsureTime)
 	s.retryAt = now.Add(lookRetry)
@@ -98,7 +106,7 @@
 // after a restart of the server that let a late start in.
 func (p *Placer) besides(s *server, a Listed) {
 	p.event(Event{Kind: EventBesides, Job: jobOf(a.Task), Task: a.Task, Run: a.Run, Server: s.Name})
-	p.out.Stops = append(p.out.Stops, Stop{Server: s.Server, Task: a.Task, Run: a.Run, Fence: p.epoch})
+	p.out.Stops = append(p.out.Stops, Stop{Server: s.Server, Task: a.Task, Run: a.Run, Fence: s.fence})
 }
 
 // stray books a run that no job here knows of. On the first look it may belong
--- a/runs/order.go
+++ b/runs/order.go
@@ -18,7 +18,7 @@
 	t.job.began, t.job.start = true, now
 	s.take(r)
 	p.out.Starts = append(p.out.Starts, Start{
-		Server: s.Server, Task: r.name, Run: r.number, Spec: t.job.Spec, Deadline: s.grant(now), Fence: p.epoch,
+		Server: s.Server, Task: r.name, Run: r.number, Spec: t.job.Spec, Deadline: s.grant(now), Fence: s.fence,
 	})
 }
 
@@ -29,7 +29,10 @@
 	if r == nil {
 		return
 	}
-	if a.Outcome != OutcomeUnknown {
+	if a.Outcome == OutcomeTaken && a.Fence < s.reborn {
+		a.Outcome = OutcomeUnknown // the process before took it, or the next one before it was looked at
+	}
+	if a.Outcome != OutcomeUnknown && a.Fence >= s.reborn {
 		s.learnClock(a.Clock, now)
 	}
 	if r.state != stateStarting && r.state != stateDoubtful {
@@ -50,17 +53,18 @@
 		r.state, r.checked = stateDoubtful, now
 		s.lookNow = true
 	default:
-		p.notStarted(s, r, a.Outcome, now)
+		p.notStarted(s, r, a, now)
 	}
 }
 
 // notStarted takes a start that the server has certainly refused.
-func (p *Placer) notStarted(s *server, r *run, o Outcome, now time.Time) {
+func (p *Placer) notStarted(s *server, r *run, a Answer, now time.Time) {
 	p.gone(r, 0)
-	switch o {
+	switch a.Outcome {
 	case OutcomeFenced:
-		p.out.Fenced = true
-		s.pausedUntil = now.Add(silencePause)
+		if p.fencedOff(s, a.Fence) {
+			s.pausedUntil = now.Add(silencePause)
+		}
 	case OutcomeNoRoom:
 		s.pausedUntil = now.Add(roomPause)
 	case OutcomeUnwell:
@@ -77,11 +81,11 @@
 		return
 	}
 	t.run = nil
-	if o == OutcomeInvalid {
+	if a.Outcome == OutcomeInvalid {
 		p.fail(t.job, now)
 		return
 	}
-	p.retry(t, o.String())
+	p.retry(t, a.Outcome.String())
 }
 
 // stop ends a run. Its room stays booked until the server lists its end.
@@ -97,7 +101,7 @@
 
 func (p *Placer) sendStop(r *run, now time.Time) {
 	r.stopAt = now.Add(stopRetry)
-	p.out.Stops = append(p.out.Stops, Stop{Server: r.server.Server, Task: r.name, Run: r.number, Fence: p.epoch})
+	p.out.Stops = append(p.out.Stops, Stop{Server: r.server.Server, Task: r.name, Run: r.number, Fence: r.server.fence})
 }
 
 // Stopped takes the answer to a stop. From then on the run can't begin; whether
@@ -105,7 +109,7 @@
 func (p *Placer) Stopped(a Answer, now time.Time) {
 	p.awake(now)
 	s, r := p.runOf(a)
-	if r == nil || r.state != stateStopping {
+	if r == nil || r.state != stateStopping || a.Fence < s.reborn {
 		return
 	}
 	switch a.Outcome {
@@ -114,7 +118,7 @@
 		r.state, r.checked = stateStopped, now
 		s.lookNow = true
 	case OutcomeFenced:
-		p.out.Fenced = true
+		p.fencedOff(s, a.Fence)
 	case OutcomeGone:
 		p.lose(s, "another process answers")
 	}
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -43,6 +43,7 @@
 	away        map[string]awayJob // refused lately, by id
 	full        map[string]int64   // least processor time of a task that found no room now, by service
 	seq         uint64
+	raised      uint64 // how often a fence was raised
 	out         Output
 }
 
--- a/runs/server.go
+++ b/runs/server.go
@@ -36,6 +36,8 @@
 	silent bool            // looks have failed for a while
 	runs   map[string]*run // by task; all of them take room
 	used   model.Demand
+	fence  uint64 // of the next order
+	reborn uint64 // least fence of the orders to the process that runs now
 
 	clock   int64     // of the server
 	clockAt time.Time // when the answer that told it came
@@ -113,8 +115,9 @@
 	}
 }
 
-// add puts a server into the table.
+// add puts a server into the table. One of that name may have been in it before.
 func (p *Placer) add(s *server) {
+	p.raise(s)
 	p.servers[s.Name] = s
 	i, _ := slices.BinarySearchFunc(p.order, s, func(a, b *server) int { return strings.Compare(a.Name, b.Name) })
 	p.order = slices.Insert(slices.Clone(p.order), i, s)
@@ -163,6 +166,8 @@
 	s.clock, s.lease, s.granted = 0, 0, 0
 	s.looking, s.looked = 0, p.seq // looks on their way may have reached the process before
 	s.health = health{}
+	p.raise(s)
+	s.reborn = s.fence
 	p.event(Event{Kind: EventLost, Server: s.Name, Reason: "restarted"})
 }
 
@@ -289,7 +294,7 @@
 			continue
 		}
 		p.seq++
-		look := Look{Server: s.Server, Seq: p.seq, Cursor: s.cursor, Fence: p.epoch, Deadline: s.grant(now)}
+		look := Look{Server: s.Server, Seq: p.seq, Cursor: s.cursor, Fence: s.fence, Deadline: s.grant(now)}
 		if len(s.runs) > 0 && s.known && !s.silent && !urgent {
 			look.Wait = lookWait
 			if now.Before(p.unsureUntil) {
--- a/runs/types.go
+++ b/runs/types.go
@@ -100,6 +100,7 @@
 	Server  string
 	Task    string
 	Run     int
+	Fence   uint64 // of the order
 	Outcome Outcome
 	Clock   int64 // of the server, milliseconds; 0 when it didn't say
 }
@@ -135,6 +136,7 @@
 	Server  string
 	Born    int64  // start of the process that answered, 0 when it didn't say
 	Seq     uint64 // of the look
+	Fence   uint64 // of the look
 	Outcome Outcome
 	Clock   int64
 	Sent    time.Time
