Keep an entry host as long as a job of it is open

What callers saw: a job that came to a new placer waited until its time was over, with all servers free: platform.TestPath, "the placer is killed while a job runs", failed each time ("complete at the second try", after 8.7 s).

Cause: a host that a job named before the placer had heard of it was forgotten by the next tick, and one whose process before was lost at once. The job kept the forgotten one, so what was heard later didn't count for it, and tasks begin only soon after a word of their host.

Evidence: the placer's decisions in that test: servers usable and free, the host "heard of" 292 years ago.

Change: a host is forgotten only when no open job names it; of a process before only the withdrawals are.

--- a/runs/lease_test.go
+++ b/runs/lease_test.go
@@ -183,6 +183,37 @@
 	}
 }
 
+// TestHostOfOpenJobIsKept hands a job over before the placer hears of its host, or
+// while it hears that the host has restarted.
+func TestHostOfOpenJobIsKept(t *testing.T) {
+	tests := map[string]func(d *desk){
+		"a tick comes before its first word": func(d *desk) { d.p.Tick(d.now) },
+		"the process before is lost":         func(d *desk) { d.p.HostLost("h3", 9, d.now) },
+		"and has withdrawn a job": func(d *desk) {
+			d.p.Withdraw("k", "h3", 5, d.now)
+			d.p.HostLost("h3", 9, d.now)
+		},
+	}
+	for name, meanwhile := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			hand := func(id string, hand uint64) {
+				d.p.Submit(Job{
+					ID: id, Host: "h3", Incarnation: 9, Hand: hand, Service: "svc", Tasks: 1, Attempts: 3, Came: d.now,
+					Objective: time.Minute, Expires: time.Minute, Demand: model.Demand{CPU: 500, MemoryMB: 1, Expected: 200 * time.Millisecond},
+				}, d.now)
+			}
+			hand("j", 1)
+			meanwhile(d)
+			hand("k", 2)
+			d.p.Waits("h3", d.now)
+			if n := len(d.drain().Starts); n != 2 {
+				t.Fatalf("%d jobs begin when their host is heard of, want 2", n)
+			}
+		})
+	}
+}
+
 // TestLateStart has a hand-over come some time after its entry host was killed. Its
 // task begins on a server that has just become empty and is then cut off. Its
 // caller comes back to another data centre.
--- a/runs/wait.go
+++ b/runs/wait.go
@@ -86,7 +86,24 @@
 			return w.host == host && (incarnation == 0 || w.incarnation != incarnation)
 		})
 	}
-	delete(p.hosts, host)
+	h, ok := p.hosts[host]
+	switch {
+	case !ok:
+	case p.waitedFor(h):
+		clear(h.withdrawn) // by the process before
+	default:
+		delete(p.hosts, host)
+	}
+}
+
+// waitedFor tells whether an open job has the host among those that wait for it.
+func (p *Placer) waitedFor(h *entryHost) bool {
+	for _, j := range p.jobs {
+		if slices.ContainsFunc(j.waiters, func(w waiter) bool { return w.entryHost == h }) {
+			return true
+		}
+	}
+	return false
 }
 
 // leave takes waiters off a job. A job that nobody waits for is dropped.
@@ -122,7 +139,7 @@
 func (p *Placer) forgetHosts(now time.Time) {
 	for name, h := range p.hosts {
 		maps.DeleteFunc(h.withdrawn, func(_ string, w withdrawal) bool { return now.Sub(w.at) > withdrawMemory })
-		if len(h.withdrawn) == 0 && now.Sub(h.waited) > hostMemory {
+		if len(h.withdrawn) == 0 && now.Sub(h.waited) > hostMemory && !p.waitedFor(h) {
 			delete(p.hosts, name)
 		}
 	}
