Raise the fence of a server that left an order unanswered

What callers saw: a task may run twice at once where the time of late orders counts from their arrival. A look that got no answer and is carried out seconds later prolongs what runs there by a whole lease, though nobody waits for it any more; neither its deadline nor the leases of waiting bind it.

Change: the first order after one without an answer has a higher fence, so a server that has answered it refuses the late one. Orders on their way under the lower fence are refused too and given again.

New tests: the case "late leases", TestLateOrdersAreBarred; all of its cases failed before.

Not barred: a late order that arrives before any later order does.

--- a/runs/fence.go
+++ b/runs/fence.go
@@ -10,6 +10,15 @@
 	s.fence = p.epoch*fenceSteps + p.raised
 }
 
+// unanswered takes an order that got no answer. It may be carried out seconds
+// later, and the time of its lease may count from then, unless the server has seen
+// a higher fence.
+func (p *Placer) unanswered(s *server, fence uint64) {
+	if fence == s.fence {
+		p.raise(s)
+	}
+}
+
 // fencedOff takes the refusal of an order for its fence. It returns false when a
 // later order of this placer has raised the fence meanwhile.
 func (p *Placer) fencedOff(s *server, fence uint64) bool {
--- a/runs/fence_test.go
+++ b/runs/fence_test.go
@@ -142,3 +142,59 @@
 		t.Fatalf("%d epochs of %d fences are more than a JSON number tells apart", epochs, fenceSteps)
 	}
 }
+
+// TestLateOrdersAreBarred has an order get no answer, so that it may prolong or start
+// something seconds later. The next order has to bar it.
+func TestLateOrdersAreBarred(t *testing.T) {
+	tests := map[string]func(d *desk, o Start) (late uint64){
+		"a start": func(d *desk, o Start) uint64 {
+			d.p.Started(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: OutcomeUnknown}, d.now)
+			return o.Fence
+		},
+		"a start of a run that has ended": func(d *desk, o Start) uint64 {
+			d.drain()
+			d.look(o.Server.Name, nil, []Ended{{N: 1, Task: o.Task, Run: o.Run, How: HowDone}})
+			d.p.Started(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: OutcomeUnknown}, d.now)
+			return o.Fence
+		},
+		"a stop": func(d *desk, o Start) uint64 {
+			d.p.Withdraw("j", "h1", 0, d.now)
+			stop := d.drain().Stops[0]
+			d.p.Stopped(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Fence: stop.Fence, Outcome: OutcomeUnknown}, d.now)
+			return stop.Fence
+		},
+		"a look": func(d *desk, o Start) uint64 {
+			d.drain()
+			s := d.p.servers[o.Server.Name]
+			d.p.Looked(Seen{Server: s.Name, Seq: s.looking, Fence: s.fence, Outcome: OutcomeUnknown}, d.now)
+			return o.Fence
+		},
+		"a look that was overtaken": func(d *desk, o Start) uint64 {
+			d.drain()
+			s := d.p.servers[o.Server.Name]
+			late := s.looking
+			s.lookNow = true
+			d.drain()
+			d.look(s.Name, []Listed{{Task: o.Task, Run: o.Run}}, nil)
+			d.p.Looked(Seen{Server: s.Name, Seq: late, Fence: s.fence, Outcome: OutcomeUnknown}, d.now)
+			return o.Fence
+		},
+	}
+	for name, lose := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			d.submit("j", "h1")
+			out := d.drain()
+			late := lose(d, out.Starts[0])
+			s := d.p.servers[out.Starts[0].Server.Name]
+			s.lookNow = true
+			d.now = d.now.Add(lookRetry)
+			for _, o := range d.drain().Looks {
+				if o.Server.Name == s.Name && o.Fence > late {
+					return
+				}
+			}
+			t.Fatalf("the next look isn't sent under a fence above %d: %+v", late, d.out.Looks)
+		})
+	}
+}
--- a/runs/look.go
+++ b/runs/look.go
@@ -8,6 +8,9 @@
 func (p *Placer) Looked(m Seen, now time.Time) {
 	p.awake(now)
 	s, ok := p.servers[m.Server]
+	if ok && m.Outcome == OutcomeUnknown {
+		p.unanswered(s, m.Fence)
+	}
 	if !ok || m.Seq <= s.looked || (m.Outcome == OutcomeUnknown && m.Seq != s.looking) {
 		return // a later look has told more
 	}
--- a/runs/order.go
+++ b/runs/order.go
@@ -26,6 +26,9 @@
 func (p *Placer) Started(a Answer, now time.Time) {
 	p.awake(now)
 	s, r := p.runOf(a)
+	if s != nil && a.Outcome == OutcomeUnknown {
+		p.unanswered(s, a.Fence)
+	}
 	if r == nil {
 		return
 	}
@@ -109,6 +112,9 @@
 func (p *Placer) Stopped(a Answer, now time.Time) {
 	p.awake(now)
 	s, r := p.runOf(a)
+	if s != nil && a.Outcome == OutcomeUnknown {
+		p.unanswered(s, a.Fence)
+	}
 	if r == nil || r.state != stateStopping || a.Fence < s.reborn {
 		return
 	}
--- a/runs/world_run_test.go
+++ b/runs/world_run_test.go
@@ -152,6 +152,7 @@
 		"many":           {trouble: trouble{back: 0.3}, share: 0.6, seeds: []uint64{242}}, // more work than there is room for
 		"many, lost":     {trouble: trouble{back: 0.3, lost: 0.05, cut: true}, share: 0.4, seeds: []uint64{50}},
 		"flapping":       {trouble: trouble{back: 0.06, lost: 0.02, late: 0.03, cut: true, born: true, flap: true}, share: 0.5},
+		"late leases":    {trouble: trouble{back: 0.06, lost: 0.03, late: 0.03, held: true, fail: 0.03, cut: true, lack: true}, share: 0.4},
 		"many, together": {trouble: trouble{back: 0.3, lost: 0.03, late: 0.03, fail: 0.03, cut: true, lack: true}, share: 0.3},
 	})
 }
