Don't give up a start that got no answer when a lease is over

What callers saw: a task may run twice at once where the time of late orders counts from their arrival. A server fell silent after a start that got no answer; once the leases given were over, the task began elsewhere, and the first start could still be carried out with a lease of its own.

A run that is known to have begun is given up with its lease as before: a late look comes when it has ended.

Test: TestStartOutlivesLease, "no answer", failed before.

--- a/runs/fence_test.go
+++ b/runs/fence_test.go
@@ -198,3 +198,52 @@
 		})
 	}
 }
+
+// TestStartOutlivesLease has a start get no answer and its server fall silent. It may
+// still be carried out, with a lease from then, so its task begins nowhere else.
+func TestStartOutlivesLease(t *testing.T) {
+	tests := map[string]struct {
+		answer Outcome // of the start
+		starts bool    // elsewhere, when the leases given are over
+	}{
+		"no answer": {answer: OutcomeUnknown},
+		"taken":     {answer: OutcomeTaken, starts: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			d.submit("j", "h1")
+			o := d.drain().Starts[0]
+			dark := o.Server.Name
+			d.p.Started(Answer{Server: dark, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: tt.answer, Clock: 5001}, d.now)
+			d.p.Looked(Seen{Server: dark, Seq: d.p.servers[dark].looking, Fence: o.Fence, Outcome: OutcomeUnknown}, d.now)
+			d.p.Withdraw("j", "h1", 0, d.now)
+			starts := 0
+			pass := func(span time.Duration) {
+				for end := d.now.Add(span); d.now.Before(end); d.now = d.now.Add(20 * time.Millisecond) {
+					d.p.Waits("h2", d.now)
+					for i := range d.servers {
+						d.servers[i].Seq++
+						d.p.Report(d.servers[i], d.now)
+					}
+					d.p.Tick(d.now)
+					d.drain()
+					starts += len(d.out.Starts)
+					for _, l := range d.out.Looks {
+						if l.Server.Name == dark {
+							d.p.Looked(Seen{Server: dark, Seq: l.Seq, Fence: l.Fence, Outcome: OutcomeUnknown}, d.now)
+							continue
+						}
+						d.look(l.Server.Name, nil, nil)
+					}
+				}
+			}
+			pass(1400 * time.Millisecond)
+			d.submit("j", "h2")
+			pass(1400 * time.Millisecond)
+			if (starts > 0) != tt.starts {
+				t.Fatalf("%d starts on the other server, want some: %v", starts, tt.starts)
+			}
+		})
+	}
+}
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -17,6 +17,7 @@
 	settleTime   = 1100 * time.Millisecond // since a job was handed over, in which a lease that an earlier placer gave its runs ends on a slow clock: waitTime at clockRate, and a rounding
 	orphanTime   = 250 * time.Millisecond  // in which a run that was found has to be claimed by an entry host: a renewal tells it of the placer each 200 ms
 	endedMemory  = 3 * time.Second         // how long the ends of jobs, and of runs without a job, are remembered for a resend
+	lateTime     = 13 * time.Second        // after which an order without an answer isn't carried out any more: they are up to 12 s late
 	forgetServer = 10 * time.Second        // after which a server that no one hears of is dropped
 )
 
--- a/runs/server.go
+++ b/runs/server.go
@@ -84,6 +84,12 @@
 	return r.began
 }
 
+// mayBegin tells whether the run's start may still be carried out: it had no answer
+// and no stop was answered. A late start may count its lease from then.
+func (r *run) mayBegin() bool {
+	return r.began.IsZero() && r.state != stateStopped
+}
+
 type runState int
 
 const (
@@ -262,7 +268,9 @@
 func (p *Placer) tickServer(s *server, now time.Time) {
 	if s.silent && len(s.runs) > 0 && s.lapsed(now) {
 		for _, r := range inOrder(s.runs) {
-			p.vanished(r, "lease over")
+			if !r.mayBegin() || now.Sub(r.sent) > lateTime {
+				p.vanished(r, "lease over")
+			}
 		}
 	}
 	if len(s.runs) == 0 && now.Sub(s.heard) > forgetServer {
