Give no lease to a silent server

What callers saw: a task on a server that fell dark waited until the server was back or its caller had left, though docs/DESIGN.md says that it starts elsewhere once its lease is over.

Cause: each look at the silent server, every 100 ms, gave a lease again as long as the caller waited, so the lease was never over.

Change: looks at a silent server carry no lease.

Test: TestTaskOfSilentServer, two of its cases failed before.

--- a/runs/server.go
+++ b/runs/server.go
@@ -201,7 +201,8 @@
 }
 
 // grant returns the end of a lease given now, 0 for none: the clock isn't known,
-// nothing runs there, or something that nobody is known to wait for.
+// the server is silent, so that its runs can begin elsewhere when their lease is
+// over, nothing runs there, or something that nobody is known to wait for.
 func (s *server) grant(now time.Time) int64 {
 	end := s.grantable(now)
 	if end <= 0 {
@@ -212,7 +213,7 @@
 }
 
 func (s *server) grantable(now time.Time) int64 {
-	if s.clock == 0 || len(s.runs) == 0 {
+	if s.clock == 0 || s.silent || len(s.runs) == 0 {
 		return 0
 	}
 	left := s.until(now.Add(leaseTime)).Sub(now)
@@ -225,7 +226,7 @@
 // short tells whether the lease of what runs on the server ends soon and may be
 // prolonged, since somebody waits for it again.
 func (s *server) short(now time.Time) bool {
-	return len(s.runs) > 0 && s.known && !s.silent && s.granted-s.clockNow(now) < renewLease.Milliseconds() &&
+	return len(s.runs) > 0 && s.known && s.granted-s.clockNow(now) < renewLease.Milliseconds() &&
 		s.grantable(now)-s.granted > renewLease.Milliseconds()/2
 }
 
