Wait for another run of a task that a server lists

What callers saw: a task may run twice at once. A server listed another run of a task than the one booked there, as after a restart that let a late start in. The booked one counted as vanished, and the task began elsewhere at once, while the stop of the other run was on its way.

Change: the other run takes the place of the booked one, so the task begins only when it has ended.

--- a/runs/found_test.go
+++ b/runs/found_test.go
@@ -103,6 +103,50 @@
 	t.Fatal("run 7 is listed while run 1 is booked, and isn't stopped")
 }
 
+// TestOtherRunIsWaitedFor has a server list another run of a task than the one that
+// was booked there. The task may begin again only when the other one has ended.
+func TestOtherRunIsWaitedFor(t *testing.T) {
+	tests := map[string]struct {
+		ended  []Ended
+		starts int
+	}{
+		"it is being stopped": {},
+		"it has ended":        {ended: []Ended{{N: 1, Task: "j.0.0.0", Run: 7, How: HowStopped}}, starts: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			server := d.begin("j")
+			d.drain()
+			d.now = d.now.Add(20 * time.Millisecond)
+			d.p.servers[server].lookNow = true
+			d.drain()
+			d.look(server, []Listed{{Task: "j.0.0.0", Run: 7}}, nil)
+			out := d.drain()
+			if len(out.Starts) > 0 || len(out.Stops) != 1 || out.Stops[0].Run != 7 {
+				t.Fatalf("starts %+v and stops %+v while run 7 is listed", out.Starts, out.Stops)
+			}
+			d.now = d.now.Add(20 * time.Millisecond)
+			d.p.servers[server].lookNow = true
+			d.drain()
+			active := []Listed{{Task: "j.0.0.0", Run: 7}}
+			if tt.ended != nil {
+				active = nil
+			}
+			d.look(server, active, tt.ended)
+			starts := d.drain().Starts
+			if len(starts) != tt.starts {
+				t.Fatalf("starts %+v, want %d", starts, tt.starts)
+			}
+			for _, o := range starts {
+				if o.Run <= 7 {
+					t.Fatalf("run %d follows run 7", o.Run)
+				}
+			}
+		})
+	}
+}
+
 // TestLateLook has the answer of a server's process before come after the report
 // of its next one.
 func TestLateLook(t *testing.T) {
--- a/runs/look.go
+++ b/runs/look.go
@@ -86,7 +86,7 @@
 			continue
 		}
 		if r.number != a.Run {
-			p.besides(s, a)
+			p.besides(s, r, a, m, now)
 			continue
 		}
 		if r.state == stateStarting || r.state == stateDoubtful {
@@ -94,7 +94,7 @@
 		}
 	}
 	for _, r := range inOrder(s.runs) {
-		if listed[r.name] == r.number || r.checked.IsZero() || !m.Sent.After(r.checked) {
+		if listed[r.name] == r.number || !r.told(m) {
 			continue
 		}
 		if r.state == stateDoubtful {
@@ -105,10 +105,21 @@
 	}
 }
 
+// told tells whether the look would list the run if it was there.
+func (r *run) told(m Seen) bool {
+	return !r.checked.IsZero() && m.Sent.After(r.checked)
+}
+
 // besides stops a run that is listed where another one of its task is booked, as
-// after a restart of the server that let a late start in.
-func (p *Placer) besides(s *server, a Listed) {
+// after a restart of the server that let a late start in. If the booked one is gone
+// it takes its place, so that the task begins only when it has ended.
+func (p *Placer) besides(s *server, booked *run, a Listed, m Seen, now time.Time) {
 	p.event(Event{Kind: EventBesides, Job: jobOf(a.Task), Task: a.Task, Run: a.Run, Server: s.Name})
+	if booked.told(m) && booked.state != stateDoubtful {
+		p.vanished(booked, "not listed")
+		p.stray(s, a, false, now)
+		return
+	}
 	p.out.Stops = append(p.out.Stops, Stop{Server: s.Server, Task: a.Task, Run: a.Run, Fence: s.fence})
 }
 
