Look before a task that a server refused as old begins elsewhere

What callers saw: a task may run twice at once. A server refuses a run when it knows of a higher one of the same task, which may still be running; the task began elsewhere at once.

Change: it waits for a look. A higher run that it lists takes the place of the refused one.

Test: TestRefusedAsOld failed in both cases before. Found by reading, not seen in a play.

--- a/runs/found_test.go
+++ b/runs/found_test.go
@@ -147,6 +147,36 @@
 	}
 }
 
+// TestRefusedAsOld has a server refuse a run since it knows of a higher one, which may
+// still run there.
+func TestRefusedAsOld(t *testing.T) {
+	tests := map[string]struct {
+		active []Listed
+		starts int
+	}{
+		"the higher run goes on": {active: []Listed{{Task: "j.0.0.0", Run: 3}}},
+		"it has ended":           {starts: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			d.submit("j", "h1")
+			o := d.drain().Starts[0]
+			d.p.Started(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: OutcomeOld, Clock: 5001}, d.now)
+			if n := len(d.drain().Starts); n > 0 {
+				t.Fatalf("%d starts before a look has told whether the higher run goes on", n)
+			}
+			d.now = d.now.Add(time.Millisecond)
+			d.p.servers[o.Server.Name].lookNow = true
+			d.drain()
+			d.look(o.Server.Name, tt.active, nil)
+			if n := len(d.drain().Starts); n != tt.starts {
+				t.Fatalf("%d starts after the look, want %d", n, tt.starts)
+			}
+		})
+	}
+}
+
 // TestLateLook has the answer of a server's process before come after the report
 // of its next one.
 func TestLateLook(t *testing.T) {
--- a/runs/order.go
+++ b/runs/order.go
@@ -55,6 +55,12 @@
 		s.pausedUntil = now.Add(silencePause)
 		r.state, r.checked = stateDoubtful, now
 		s.lookNow = true
+	case OutcomeOld:
+		if r.task != nil {
+			r.task.last *= 2 // how high the earlier run was isn't told
+		}
+		r.state, r.checked = stateStopped, now // it can't begin; a look tells whether the earlier one still runs
+		s.lookNow = true
 	default:
 		p.notStarted(s, r, a, now)
 	}
@@ -72,10 +78,6 @@
 		s.pausedUntil = now.Add(roomPause)
 	case OutcomeUnwell:
 		s.pausedUntil = now.Add(unwellPause)
-	case OutcomeOld:
-		if r.task != nil {
-			r.task.last *= 2 // how high the earlier run was isn't told
-		}
 	case OutcomeGone:
 		defer p.lose(s, "another process answers")
 	}
