Order nothing more once another placer is known to follow

A placer that a server had refused for the fence of a later one started tasks in the same round, before it was stopped. A server that was restarted since the later one's looks would have taken them.

Test: TestFenceRaisedMeanwhile, "by a later one", failed while it was written.

--- a/runs/fence_test.go
+++ b/runs/fence_test.go
@@ -119,8 +119,9 @@
 				d.p.raise(d.p.servers[o.Server.Name])
 			}
 			d.p.Started(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: OutcomeFenced, Clock: 5001}, d.now)
-			if out := d.drain(); out.Fenced != tt.fenced {
-				t.Fatalf("fenced off %v, want %v", out.Fenced, tt.fenced)
+			out := d.drain()
+			if out.Fenced != tt.fenced || tt.fenced == (len(out.Starts) > 0) {
+				t.Fatalf("fenced off %v with starts %+v, want %v", out.Fenced, out.Starts, tt.fenced)
 			}
 		})
 	}
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -280,8 +280,10 @@
 // Drain returns what followed from the inputs since the last call.
 func (p *Placer) Drain(now time.Time) Output {
 	p.settle(now)
-	p.pump(now)
-	p.lookAround(now)
+	if !p.out.Fenced { // the next placer decides then
+		p.pump(now)
+		p.lookAround(now)
+	}
 	out := p.out
 	p.out = Output{}
 	return out
