--- a/runs/order.go
+++ b/runs/order.go
@@ -25,16 +25,10 @@
 // Started takes the answer to a start.
 func (p *Placer) Started(a Answer, now time.Time) {
 	p.awake(now)
-	s, r := p.runOf(a)
-	if s != nil && a.Outcome == OutcomeUnknown {
-		p.unanswered(s, a.Fence)
-	}
+	s, r := p.orderOf(&a)
 	if r == nil {
 		return
 	}
-	if a.Outcome == OutcomeTaken && a.Fence < s.reborn {
-		a.Outcome = OutcomeUnknown // the process before took it, or the next one before it was looked at
-	}
 	if a.Outcome != OutcomeUnknown && a.Fence >= s.reborn {
 		s.learnClock(a.Clock, now)
 	}
@@ -113,11 +107,8 @@
 // it had, a later look tells.
 func (p *Placer) Stopped(a Answer, now time.Time) {
 	p.awake(now)
-	s, r := p.runOf(a)
-	if s != nil && a.Outcome == OutcomeUnknown {
-		p.unanswered(s, a.Fence)
-	}
-	if r == nil || r.state != stateStopping || a.Fence < s.reborn {
+	s, r := p.orderOf(&a)
+	if r == nil || r.state != stateStopping {
 		return
 	}
 	switch a.Outcome {
@@ -132,6 +123,22 @@
 	}
 }
 
+// orderOf returns what an answer is about. One that says that a process of before
+// took the order, or the next one before it was looked at, is none.
+func (p *Placer) orderOf(a *Answer) (*server, *run) {
+	s, r := p.runOf(*a)
+	if s == nil {
+		return nil, nil
+	}
+	if a.Outcome == OutcomeTaken && a.Fence < s.reborn {
+		a.Outcome = OutcomeUnknown
+	}
+	if a.Outcome == OutcomeUnknown {
+		p.unanswered(s, a.Fence)
+	}
+	return s, r
+}
+
 func (p *Placer) runOf(a Answer) (*server, *run) {
 	s, ok := p.servers[a.Server]
 	if !ok {
