--- a/runs/fence_test.go
+++ b/runs/fence_test.go
@@ -94,6 +94,11 @@
 	}
 	m.Born, m.Seq = 2, 1
 	d.p.Report(m, d.now)
+	for _, l := range d.drain().Looks {
+		if l.Server.Name == m.Name && l.Fence <= o.Fence {
+			t.Fatalf("the new process is looked at under fence %d while a start under %d is on its way", l.Fence, o.Fence)
+		}
+	}
 	d.p.Started(Answer{Server: m.Name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: OutcomeTaken, Clock: 486000}, d.now)
 	if s := d.p.servers[m.Name]; s.clock != 0 || s.runs[o.Task].state != stateDoubtful {
 		t.Fatalf("clock %d, state %v after the answer of the process before", s.clock, s.runs[o.Task].state)
