Let a server rest after it has restarted under its name

What callers saw: a task may run twice at once while one placer follows another. Both had the job: its host had just handed it to the next placer, which began it. The one before, neither frozen nor told, began it too, on a server that had restarted since the next one's look and knew no fence.

Change: a server whose process has changed gets no task for 0.3 s. By then a placer starts nothing for hosts that follow another one, as tasks begin only so soon after a word of their host. Servers of a new name wait longer already.

--- a/runs/fence_test.go
+++ b/runs/fence_test.go
@@ -105,6 +105,46 @@
 	}
 }
 
+// TestRestartedServerRests has a server restart while a job waits whose entry host may
+// have gone over to the next placer: its new process knows no fence.
+func TestRestartedServerRests(t *testing.T) {
+	tests := map[string]struct {
+		waits  bool // the host goes on telling this placer that it waits
+		starts int
+	}{
+		"the host follows another placer": {},
+		"the host follows this one":       {waits: true, starts: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			d.begin("k")
+			d.begin("l")
+			for _, m := range d.servers {
+				m.Born, m.Seq = 2, 1
+				d.p.Report(m, d.now)
+			}
+			d.submit("j", "h1")
+			starts := 0
+			for range 30 {
+				d.drain()
+				starts += len(d.out.Starts)
+				for _, o := range d.out.Looks {
+					d.p.Looked(Seen{Server: o.Server.Name, Born: 2, Seq: o.Seq, Fence: o.Fence, Outcome: OutcomeTaken, Clock: 5, Sent: d.now}, d.now)
+				}
+				d.now = d.now.Add(20 * time.Millisecond)
+				if tt.waits {
+					d.p.Waits("h1", d.now)
+				}
+				d.p.Tick(d.now)
+			}
+			if (starts > 0) != (tt.starts > 0) {
+				t.Fatalf("%d starts on servers that were restarted, want some: %v", starts, tt.starts > 0)
+			}
+		})
+	}
+}
+
 // TestFenceRaisedMeanwhile has an order refused since a later one of the same placer
 // came first.
 func TestFenceRaisedMeanwhile(t *testing.T) {
--- a/runs/look.go
+++ b/runs/look.go
@@ -27,7 +27,7 @@
 	s.silent, s.retryAt, s.answered = false, time.Time{}, now
 	s.acked = s.told
 	if m.Born != 0 && m.Born != s.Born {
-		p.reborn(s, m.Born)
+		p.reborn(s, m.Born, now)
 		return // the next look bars what was ordered before
 	}
 	s.learnClock(m.Clock, now)
--- a/runs/server.go
+++ b/runs/server.go
@@ -39,6 +39,8 @@
 	fence  uint64 // of the next order
 	reborn uint64 // least fence of the orders to the process that runs now
 
+	restarted time.Time // when its process was first heard of, if it isn't the first
+
 	clock   int64     // of the server
 	clockAt time.Time // when the answer that told it came
 	lease   int64     // latest end of the leases that it may hold, on the server's clock
@@ -156,7 +158,7 @@
 	case !m.Newer(s.Server):
 		return
 	case m.Born != s.Born:
-		p.reborn(s, m.Born)
+		p.reborn(s, m.Born, now)
 	}
 	s.Server = m
 	s.heard = now
@@ -165,8 +167,8 @@
 // reborn notes that another process runs under the server's name. What it has
 // been ordered to run is kept until a look tells which of it reached the new
 // process.
-func (p *Placer) reborn(s *server, born int64) {
-	s.Born = born
+func (p *Placer) reborn(s *server, born int64, now time.Time) {
+	s.Born, s.restarted = born, now
 	s.known = false
 	s.cursor, s.told, s.acked = 0, 0, 0
 	s.clock, s.lease, s.granted = 0, 0, 0
@@ -259,9 +261,12 @@
 		s.used.Accelerators+d.Accelerators <= s.Accelerators
 }
 
-// usable tells whether the server may get a task now.
+// usable tells whether the server may get a task now. A process that was restarted
+// knows no fence, so a placer that has been superseded may be the first to look at
+// it. After freshTime none of that one's jobs that the next placer has begins.
 func (s *server) usable(now time.Time) bool {
 	return s.known && (s.spread || now.Sub(s.found) >= spreadTime) && !s.silent && !s.Draining && now.Sub(s.heard) < seenWithin &&
+		now.Sub(s.restarted) > freshTime &&
 		!now.Before(s.pausedUntil) && s.health.allows(len(s.runs), now)
 }
 
--- a/runs/world_run_test.go
+++ b/runs/world_run_test.go
@@ -138,7 +138,7 @@
 		"restarts":      {trouble: trouble{born: true}, share: 0.8},
 		"no tables":     {trouble: trouble{lack: true, lost: 0.01}, share: 0.5},
 		"all together":  {trouble: trouble{lost: 0.03, late: 0.03, fail: 0.03, cut: true, born: true}, share: 0.5},
-		"late restarts": {trouble: trouble{late: 0.05, slow: 0.03, born: true, flap: true}, share: 0.6},
+		"late restarts": {trouble: trouble{late: 0.05, slow: 0.03, born: true, flap: true}, share: 0.6, seeds: []uint64{543}},
 	})
 }
 
