--- a/runs/doc.go
+++ b/runs/doc.go
@@ -7,8 +7,11 @@
 //
 // # One run at a time
 //
-// All orders carry the placer's epoch as their fence, so a server that the next
-// placer has looked at refuses those of this one. A task is started again only
+// All orders carry a fence out of the range of the placer's epoch, so a server that
+// the next placer has looked at refuses those of this one. An order without an
+// answer may be carried out seconds later, also by another process that the server
+// runs by then; the fence of the server is raised after such an order and after a
+// restart, so that its next order bars all earlier ones. A task is started again only
 // when its last run is known to have ended: the server listed its end, or lists
 // it no more after its start or stop was answered, or the lease that this placer
 // gave the server is over on the server's own clock. A start whose answer was
