--- a/runs/look.go
+++ b/runs/look.go
@@ -9,6 +9,9 @@
 func (p *Placer) Looked(m Seen, now time.Time) {
 	p.awake(now)
 	s, ok := p.servers[m.Server]
+	if ok && m.Outcome == OutcomeUnknown {
+		p.unanswered(s, m.Fence)
+	}
 	if !ok || m.Seq <= s.looked || (m.Outcome == OutcomeUnknown && m.Seq != s.looking) {
 		return // a later look has told more
 	}
@@ -16,17 +19,7 @@
 		s.looking = 0
 	}
 	s.looked = m.Seq
-	switch m.Outcome {
-	case OutcomeTaken:
-	case OutcomeFenced:
-		p.out.Fenced = true
-		s.retryAt = now.Add(lookRetry)
-		return
-	case OutcomeGone:
-		p.lose(s, "another process answers")
-		return
-	default:
-		p.noAnswer(s, m.Outcome, now)
+	if !p.lookTaken(s, m, now) {
 		return
 	}
 	if s.silent {
@@ -35,7 +28,8 @@
 	s.silent, s.retryAt, s.answered = false, time.Time{}, now
 	s.acked = s.told
 	if m.Born != 0 && m.Born != s.Born {
-		p.reborn(s, m.Born)
+		p.reborn(s, m.Born, now)
+		return // the next look bars what was ordered before
 	}
 	s.learnClock(m.Clock, now)
 	first := !s.known
@@ -52,6 +46,23 @@
 	p.compare(s, m, first, now)
 }
 
+// lookTaken tells whether the server has answered what was asked.
+func (p *Placer) lookTaken(s *server, m Seen, now time.Time) bool {
+	switch m.Outcome {
+	case OutcomeTaken:
+		return true
+	case OutcomeFenced:
+		if p.fencedOff(s, m.Fence) {
+			s.retryAt = now.Add(lookRetry)
+		}
+	case OutcomeGone:
+		p.lose(s, "another process answers")
+	default:
+		p.noAnswer(s, m.Outcome, now)
+	}
+	return false
+}
+
 func (p *Placer) noAnswer(s *server, o Outcome, now time.Time) {
 	p.unsureUntil = now.Add(unsureTime)
 	s.retryAt = now.Add(lookRetry)
@@ -76,7 +87,7 @@
 			continue
 		}
 		if r.number != a.Run {
-			p.besides(s, a)
+			p.besides(s, r, a, m, now)
 			continue
 		}
 		if r.state == stateStarting || r.state == stateDoubtful {
@@ -84,7 +95,7 @@
 		}
 	}
 	for _, r := range inOrder(s.runs) {
-		if listed[r.name] == r.number || r.checked.IsZero() || !m.Sent.After(r.checked) {
+		if listed[r.name] == r.number || !r.told(m) {
 			continue
 		}
 		if r.state == stateDoubtful {
@@ -95,11 +106,22 @@
 	}
 }
 
+// told tells whether the look would list the run if it was there.
+func (r *run) told(m Seen) bool {
+	return !r.checked.IsZero() && m.Sent.After(r.checked)
+}
+
 // besides stops a run that is listed where another one of its task is booked, as
-// after a restart of the server that let a late start in.
-func (p *Placer) besides(s *server, a Listed) {
+// after a restart of the server that let a late start in. If the booked one is gone
+// it takes its place, so that the task begins only when it has ended.
+func (p *Placer) besides(s *server, booked *run, a Listed, m Seen, now time.Time) {
 	p.event(Event{Kind: EventBesides, Job: jobOf(a.Task), Task: a.Task, Run: a.Run, Server: s.Name})
-	p.out.Stops = append(p.out.Stops, Stop{Server: s.Server, Task: a.Task, Run: a.Run, Fence: p.epoch})
+	if booked.told(m) && booked.state != stateDoubtful {
+		p.vanished(booked, "not listed")
+		p.stray(s, a, false, now)
+		return
+	}
+	p.out.Stops = append(p.out.Stops, Stop{Server: s.Server, Task: a.Task, Run: a.Run, Fence: s.fence})
 }
 
 // stray books a run that no job here knows of. On the first look it may belong
--- a/runs/order.go
+++ b/runs/order.go
@@ -18,18 +18,18 @@
 	t.job.began, t.job.start = true, now
 	s.take(r)
 	p.out.Starts = append(p.out.Starts, Start{
-		Server: s.Server, Task: r.name, Run: r.number, Spec: t.job.Spec, Deadline: s.grant(now), Fence: p.epoch,
+		Server: s.Server, Task: r.name, Run: r.number, Spec: t.job.Spec, Deadline: s.grant(now), Fence: s.fence,
 	})
 }
 
 // Started takes the answer to a start.
 func (p *Placer) Started(a Answer, now time.Time) {
 	p.awake(now)
-	s, r := p.runOf(a)
+	s, r := p.orderOf(&a)
 	if r == nil {
 		return
 	}
-	if a.Outcome != OutcomeUnknown {
+	if a.Outcome != OutcomeUnknown && a.Fence >= s.reborn {
 		s.learnClock(a.Clock, now)
 	}
 	if r.state != stateStarting && r.state != stateDoubtful {
@@ -49,26 +49,29 @@
 		s.pausedUntil = now.Add(silencePause)
 		r.state, r.checked = stateDoubtful, now
 		s.lookNow = true
+	case OutcomeOld:
+		if r.task != nil {
+			r.task.last *= 2 // how high the earlier run was isn't told
+		}
+		r.state, r.checked = stateStopped, now // it can't begin; a look tells whether the earlier one still runs
+		s.lookNow = true
 	default:
-		p.notStarted(s, r, a.Outcome, now)
+		p.notStarted(s, r, a, now)
 	}
 }
 
 // notStarted takes a start that the server has certainly refused.
-func (p *Placer) notStarted(s *server, r *run, o Outcome, now time.Time) {
+func (p *Placer) notStarted(s *server, r *run, a Answer, now time.Time) {
 	p.gone(r, 0)
-	switch o {
+	switch a.Outcome {
 	case OutcomeFenced:
-		p.out.Fenced = true
-		s.pausedUntil = now.Add(silencePause)
+		if p.fencedOff(s, a.Fence) {
+			s.pausedUntil = now.Add(silencePause)
+		}
 	case OutcomeNoRoom:
 		s.pausedUntil = now.Add(roomPause)
 	case OutcomeUnwell:
 		s.pausedUntil = now.Add(unwellPause)
-	case OutcomeOld:
-		if r.task != nil {
-			r.task.last *= 2 // how high the earlier run was isn't told
-		}
 	case OutcomeGone:
 		defer p.lose(s, "another process answers")
 	}
@@ -77,11 +80,11 @@
 		return
 	}
 	t.run = nil
-	if o == OutcomeInvalid {
+	if a.Outcome == OutcomeInvalid {
 		p.fail(t.job, now)
 		return
 	}
-	p.retry(t, o.String())
+	p.retry(t, a.Outcome.String())
 }
 
 // stop ends a run. Its room stays booked until the server lists its end.
@@ -97,14 +100,14 @@
 
 func (p *Placer) sendStop(r *run, now time.Time) {
 	r.stopAt = now.Add(stopRetry)
-	p.out.Stops = append(p.out.Stops, Stop{Server: r.server.Server, Task: r.name, Run: r.number, Fence: p.epoch})
+	p.out.Stops = append(p.out.Stops, Stop{Server: r.server.Server, Task: r.name, Run: r.number, Fence: r.server.fence})
 }
 
 // Stopped takes the answer to a stop. From then on the run can't begin; whether
 // it had, a later look tells.
 func (p *Placer) Stopped(a Answer, now time.Time) {
 	p.awake(now)
-	s, r := p.runOf(a)
+	s, r := p.orderOf(&a)
 	if r == nil || r.state != stateStopping {
 		return
 	}
@@ -114,12 +117,28 @@
 		r.state, r.checked = stateStopped, now
 		s.lookNow = true
 	case OutcomeFenced:
-		p.out.Fenced = true
+		p.fencedOff(s, a.Fence)
 	case OutcomeGone:
 		p.lose(s, "another process answers")
 	}
 }
 
+// orderOf returns what an answer is about. One that says that a process of before
+// took the order, or the next one before it was looked at, is none.
+func (p *Placer) orderOf(a *Answer) (*server, *run) {
+	s, r := p.runOf(*a)
+	if s == nil {
+		return nil, nil
+	}
+	if a.Outcome == OutcomeTaken && a.Fence < s.reborn {
+		a.Outcome = OutcomeUnknown
+	}
+	if a.Outcome == OutcomeUnknown {
+		p.unanswered(s, a.Fence)
+	}
+	return s, r
+}
+
 func (p *Placer) runOf(a Answer) (*server, *run) {
 	s, ok := p.servers[a.Server]
 	if !ok {
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -17,6 +17,7 @@
 	settleTime   = 1200 * time.Millisecond // since a job was handed over, in which a lease that an earlier placer gave its runs ends on a slow clock: freshTime and leaseTime at clockRate, and a rounding
 	orphanTime   = 250 * time.Millisecond  // in which a run that was found has to be claimed by an entry host: a renewal tells it of the placer each 200 ms
 	endedMemory  = 3 * time.Second         // how long the ends of jobs, and of runs without a job, are remembered for a resend
+	lateTime     = 13 * time.Second        // after which an order without an answer isn't carried out any more: they are up to 12 s late
 	forgetServer = 10 * time.Second        // after which a server that no one hears of is dropped
 )
 
@@ -43,6 +44,7 @@
 	away        map[string]awayJob // refused lately, by id
 	full        map[string]int64   // least processor time of a task that found no room now, by service
 	seq         uint64
+	raised      uint64 // how often a fence was raised
 	out         Output
 }
 
@@ -282,8 +284,10 @@
 // Drain returns what followed from the inputs since the last call.
 func (p *Placer) Drain(now time.Time) Output {
 	p.settle(now)
-	p.pump(now)
-	p.lookAround(now)
+	if !p.out.Fenced { // the next placer decides then
+		p.pump(now)
+		p.lookAround(now)
+	}
 	out := p.out
 	p.out = Output{}
 	return out
--- a/runs/server.go
+++ b/runs/server.go
@@ -36,6 +36,10 @@
 	silent bool            // looks have failed for a while
 	runs   map[string]*run // by task; all of them take room
 	used   model.Demand
+	fence  uint64 // of the next order
+	reborn uint64 // least fence of the orders to the process that runs now
+
+	restarted time.Time // when its process was first heard of, if it isn't the first
 
 	clock   int64     // of the server
 	clockAt time.Time // when the answer that told it came
@@ -82,6 +86,12 @@
 	return r.began
 }
 
+// mayBegin tells whether the run's start may still be carried out: it had no answer
+// and no stop was answered. A late start may count its lease from then.
+func (r *run) mayBegin() bool {
+	return r.began.IsZero() && r.state != stateStopped
+}
+
 type runState int
 
 const (
@@ -113,8 +123,9 @@
 	}
 }
 
-// add puts a server into the table.
+// add puts a server into the table. One of that name may have been in it before.
 func (p *Placer) add(s *server) {
+	p.raise(s)
 	p.servers[s.Name] = s
 	i, _ := slices.BinarySearchFunc(p.order, s, func(a, b *server) int { return strings.Compare(a.Name, b.Name) })
 	p.order = slices.Insert(slices.Clone(p.order), i, s)
@@ -147,7 +158,7 @@
 	case !m.Newer(s.Server):
 		return
 	case m.Born != s.Born:
-		p.reborn(s, m.Born)
+		p.reborn(s, m.Born, now)
 	}
 	s.Server = m
 	s.heard = now
@@ -156,13 +167,15 @@
 // reborn notes that another process runs under the server's name. What it has
 // been ordered to run is kept until a look tells which of it reached the new
 // process.
-func (p *Placer) reborn(s *server, born int64) {
-	s.Born = born
+func (p *Placer) reborn(s *server, born int64, now time.Time) {
+	s.Born, s.restarted = born, now
 	s.known = false
 	s.cursor, s.told, s.acked = 0, 0, 0
 	s.clock, s.lease, s.granted = 0, 0, 0
 	s.looking, s.looked = 0, p.seq // looks on their way may have reached the process before
 	s.health = health{}
+	p.raise(s)
+	s.reborn = s.fence
 	p.event(Event{Kind: EventLost, Server: s.Name, Reason: "restarted"})
 }
 
@@ -190,7 +203,8 @@
 }
 
 // grant returns the end of a lease given now, 0 for none: the clock isn't known,
-// nothing runs there, or something that nobody is known to wait for.
+// the server is silent, so that its runs can begin elsewhere when their lease is
+// over, nothing runs there, or something that nobody is known to wait for.
 func (s *server) grant(now time.Time) int64 {
 	end := s.grantable(now)
 	if end <= 0 {
@@ -201,7 +215,7 @@
 }
 
 func (s *server) grantable(now time.Time) int64 {
-	if s.clock == 0 || len(s.runs) == 0 {
+	if s.clock == 0 || s.silent || len(s.runs) == 0 {
 		return 0
 	}
 	left := s.until(now.Add(leaseTime)).Sub(now)
@@ -214,7 +228,7 @@
 // short tells whether the lease of what runs on the server ends soon and may be
 // prolonged, since somebody waits for it again.
 func (s *server) short(now time.Time) bool {
-	return len(s.runs) > 0 && s.known && !s.silent && s.granted-s.clockNow(now) < renewLease.Milliseconds() &&
+	return len(s.runs) > 0 && s.known && s.granted-s.clockNow(now) < renewLease.Milliseconds() &&
 		s.grantable(now)-s.granted > renewLease.Milliseconds()/2
 }
 
@@ -247,9 +261,12 @@
 		s.used.Accelerators+d.Accelerators <= s.Accelerators
 }
 
-// usable tells whether the server may get a task now.
+// usable tells whether the server may get a task now. A process that was restarted
+// knows no fence, so a placer that has been superseded may be the first to look at
+// it. After freshTime none of that one's jobs that the next placer has begins.
 func (s *server) usable(now time.Time) bool {
 	return s.known && (s.spread || now.Sub(s.found) >= spreadTime) && !s.silent && !s.Draining && now.Sub(s.heard) < seenWithin &&
+		now.Sub(s.restarted) > freshTime &&
 		!now.Before(s.pausedUntil) && s.health.allows(len(s.runs), now)
 }
 
@@ -257,7 +274,9 @@
 func (p *Placer) tickServer(s *server, now time.Time) {
 	if s.silent && len(s.runs) > 0 && s.lapsed(now) {
 		for _, r := range inOrder(s.runs) {
-			p.vanished(r, "lease over")
+			if !r.mayBegin() || now.Sub(r.sent) > lateTime {
+				p.vanished(r, "lease over")
+			}
 		}
 	}
 	if len(s.runs) == 0 && now.Sub(s.heard) > forgetServer {
@@ -289,7 +308,7 @@
 			continue
 		}
 		p.seq++
-		look := Look{Server: s.Server, Seq: p.seq, Cursor: s.cursor, Fence: p.epoch, Deadline: s.grant(now)}
+		look := Look{Server: s.Server, Seq: p.seq, Cursor: s.cursor, Fence: s.fence, Deadline: s.grant(now)}
 		if len(s.runs) > 0 && s.known && !s.silent && !urgent {
 			look.Wait = lookWait
 			if now.Before(p.unsureUntil) {
