Use a new server only when no host that may place next lacks it

What callers saw: nothing yet; found in a review of the incident of tasks that ran twice. A placer used a backend server as soon as the hosts that it still heard of had confirmed it, though a host that was silent for 0.9 s may place next with the table from before, and after 0.5 s in any case. A placer that is lost is superseded in 0.8 s and more.

Cause: which hosts keep the table was read from the list of hosts that hand over jobs, which forgets silent ones for another reason.

Change: the placer remembers for each host of its data centre when it told it the table last and which version it confirmed, apart from whether jobs of it are waited for. A new server is used when all that were told within SpreadTime have confirmed it; SpreadTime, after which it is used in any case, is 2.5 s. When no other host has the table of this epoch, the server is used at once: whoever is told later is told of it too.

Ruled out: to drop silent hosts later. Their jobs have to be withdrawn before callers send them again.

In placer.TestOlderTable the next placer now gets its table by a pulse and the play goes on until the server is used under the new bound; it fails as before.

--- a/placer/former_test.go
+++ b/placer/former_test.go
@@ -53,9 +53,11 @@
 	w := newWaiting()
 	before := w.placer.Epoch()
 	w.beat(server("s1"), w.now)
+	w.pulse(msgs.Pulse{Host: "next", DataCentre: "dc", Incarnation: 1}, w.now)
+	told := w.told[len(w.told)-1]
 	next := newWaiting()
 	next.placer, next.latest, next.tableEpoch = nil, model.Placement{}, 0
-	next.adoptTable(Table{Epoch: before, Whole: true, Servers: w.table().Servers})
+	next.adoptTable(Table{Epoch: told.Epoch, Whole: told.Since == 0, Servers: told.Table})
 	w.beat(server("s2"), w.now) // not told to the next placer: the link to it is cut
 	look := func(n *waiting, active map[string][]runs.Listed) []runs.Start {
 		out := n.placer.Drain(n.now)
@@ -74,13 +76,18 @@
 		n.pulse(msgs.Pulse{Host: "far", Incarnation: 1, Placing: epoch, Stamp: n.now.Sub(n.began)}, n.now)
 	}
 	look(w, nil)
-	for range 4 {
+	for used := w.now.Add(runs.SpreadTime); w.now.Before(used); {
 		w.now = w.now.Add(150 * time.Millisecond)
 		w.pulse(msgs.Pulse{Host: "far", DataCentre: "other", Incarnation: 1, Placing: before, Stamp: w.now.Sub(w.began)}, w.now)
 		w.placer.Tick(w.now)
 		look(w, nil)
 	}
-	w.beat(model.Server{Name: "s1", DataCentre: "dc", Service: "svc", CPU: 100, Born: 1, Seq: 2, Draining: true}, w.now)
+	for _, name := range []string{"s1", "s2"} {
+		r := server(name)
+		r.Seq = 2
+		w.beat(r, w.now)
+	}
+	w.beat(model.Server{Name: "s1", DataCentre: "dc", Service: "svc", CPU: 100, Born: 1, Seq: 3, Draining: true}, w.now)
 	hand(w, false, before)
 	starts := look(w, nil)
 	if len(starts) != 1 || starts[0].Server.Name != "s2" {
--- a/placer/node.go
+++ b/placer/node.go
@@ -64,7 +64,9 @@
 	tableEpoch uint64            // of the placer that told servers
 	placedFor  uint64            // latest epoch under which this process placed
 	hosts      map[string]*host
-	fencedAt   time.Time // zero unless the next placer isn't known yet
+	keepers    map[string]*keeper // of the table, by host
+	confirmed  uint64             // version of the table up to which its servers may be used
+	fencedAt   time.Time          // zero unless the next placer isn't known yet
 	early      []early
 	flushing   bool // a flush is on its way
 	stateAt    time.Time
@@ -82,8 +84,6 @@
 	waited      time.Time       // latest time at which it is known to have waited, zero for none
 	asked       time.Time       // when a pulse was asked of it last
 	near        bool            // of this data centre, so that it keeps the table
-	has         uint64          // version of the table that the host has, 0 for none of this epoch
-	told        uint64          // and that it was sent
 }
 
 // silent tells whether the host isn't known to have waited lately.
@@ -142,6 +142,7 @@
 			}
 			n.servers = map[string]model.Server{}
 			n.hosts = map[string]*host{}
+			n.keepers = map[string]*keeper{}
 			connect(t)
 			return nil
 		},
@@ -221,6 +222,7 @@
 		}
 	}
 	n.spread(now)
+	n.known(now)
 	n.placer.Tick(now)
 	n.carryOut(now)
 	if n.placer != nil && !now.Before(n.stateAt) {
@@ -245,6 +247,7 @@
 	n.tableEpoch, n.placedFor = p.Epoch, p.Epoch
 	n.placer.TakeOver(slices.Collect(maps.Values(n.servers)), now)
 	n.version, n.changed, n.hosts = 1, map[string]change{}, map[string]*host{}
+	n.keepers, n.confirmed = map[string]*keeper{}, 0
 	for name, s := range n.servers {
 		n.changed[name] = change{version: 1, server: s, at: now}
 	}
@@ -331,6 +334,7 @@
 	if h.incarnation != incarnation {
 		h.former[h.incarnation] = true
 		h.incarnation, h.since, h.waited = incarnation, now, time.Time{}
+		delete(n.keepers, name)
 		n.placer.HostLost(name, incarnation, now)
 	}
 	return true
--- a/placer/table.go
+++ b/placer/table.go
@@ -2,12 +2,12 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 
 	"dogwoodrock.example/dogwoodrock/model"
 	"dogwoodrock.example/dogwoodrock/msgs"
+	"dogwoodrock.example/dogwoodrock/runs"
 )
 
 // change is the last change of a server in the table.
@@ -17,14 +17,24 @@
 	at      time.Time
 }
 
+// keeper is another host of the data centre that was told the table under this
+// epoch. It may place next even when it isn't heard of any more.
+type keeper struct {
+	has  uint64    // version that it has confirmed, 0 for none
+	told uint64    // version that it was sent
+	at   time.Time // when it was sent one last
+}
+
 // leftMemory is how long a server that left stays in the table, for hosts that
 // missed it: some pulses.
 const leftMemory = 10 * time.Second
 
-// prune forgets servers that left and jobs that came too early.
+// prune forgets servers that left, jobs that came too early, and hosts whose table
+// is too old to begin with.
 func (n *Node) prune(now time.Time) {
 	maps.DeleteFunc(n.changed, func(_ string, c change) bool { return c.server.Left && now.Sub(c.at) > leftMemory })
 	n.early = slices.DeleteFunc(n.early, func(e early) bool { return now.Sub(e.came) > earlyTime })
+	maps.DeleteFunc(n.keepers, func(_ string, k *keeper) bool { return now.Sub(k.at) > runs.SpreadTime })
 }
 
 // pulse notes that an entry host lives, for which jobs it waits, and which version
@@ -39,17 +49,30 @@
 	}
 	h := n.hosts[m.Host]
 	h.near = m.DataCentre == n.DataCentre
-	h.has = 0
-	if m.Epoch == n.placer.Epoch() {
-		h.has = m.Servers
+	if h.near {
+		k := n.keeper(m.Host)
+		k.has = 0
+		if m.Epoch == n.placer.Epoch() {
+			k.has = m.Servers
+		}
 	}
-	n.known()
 	for _, w := range m.Withdrawn {
 		w.Host = m.Host
 		n.withdraw(w, now)
 	}
 	n.waits(m, h, now)
 	n.tell(m.Host, h, now)
+	n.known(now)
+}
+
+// keeper returns what is known of the table of a host.
+func (n *Node) keeper(name string) *keeper {
+	k, ok := n.keepers[name]
+	if !ok {
+		k = &keeper{}
+		n.keepers[name] = k
+	}
+	return k
 }
 
 // waits notes when an entry host waited: not before the stamp that it returns,
@@ -65,18 +88,19 @@
 	n.placer.Waits(m.Host, at)
 }
 
-// known lets the servers be used that all other hosts of the data centre have in
-// their tables: the next placer would know of them.
-func (n *Node) known() {
-	least := uint64(math.MaxUint64)
-	for name, h := range n.hosts {
-		if name != n.Self && h.near {
-			least = min(least, h.has)
+// known lets the servers be used that every host has in its table that may take it
+// for whole, if it places next.
+func (n *Node) known(now time.Time) {
+	least := n.version
+	for name, k := range n.keepers {
+		if name != n.Self && now.Sub(k.at) < runs.SpreadTime {
+			least = min(least, k.has)
 		}
 	}
-	if least == math.MaxUint64 {
+	if least <= n.confirmed {
 		return
 	}
+	n.confirmed = least
 	for name, c := range n.changed {
 		if c.version <= least {
 			n.placer.Spread(name)
@@ -88,7 +112,7 @@
 // without waiting for their pulses.
 func (n *Node) spread(now time.Time) {
 	for name, h := range n.hosts {
-		if h.told != n.version && name != n.Self && h.near {
+		if h.near && name != n.Self && n.keeper(name).told != n.version {
 			n.tell(name, h, now)
 		}
 	}
@@ -104,10 +128,11 @@
 		h.asked = now
 	}
 	if h.near {
-		h.told = n.version
-		reply.Servers, reply.Since = n.version, h.has
+		k := n.keeper(name)
+		k.told, k.at = n.version, now
+		reply.Servers, reply.Since = n.version, k.has
 		for _, c := range n.changed {
-			if c.version > h.has {
+			if c.version > k.has {
 				reply.Table = append(reply.Table, c.server)
 			}
 		}
--- a/runs/server.go
+++ b/runs/server.go
@@ -20,12 +20,16 @@
 	silentAfter  = 350 * time.Millisecond  // without an answer, while looks fail, a server is silent: some looks in a row were lost
 	stopRetry    = 80 * time.Millisecond   // between stops that got no answer: longer than one may take
 	seenWithin   = 2500 * time.Millisecond // a server that nobody heard of for longer gets no task: one report may be lost
-	spreadTime   = 500 * time.Millisecond  // after which a new server is used though no other host has confirmed that it knows of it
 	roomPause    = 40 * time.Millisecond   // for a server that had no room
 	unwellPause  = 500 * time.Millisecond  // for a server that says it is unhealthy
 	silencePause = 60 * time.Millisecond   // for a server that left an order unanswered, until a look tells more
 )
 
+// SpreadTime is how long a new server isn't used unless every host that may place
+// next has confirmed that it knows of it. A placer that is lost is superseded in
+// less, with its core's leader too.
+const SpreadTime = 2500 * time.Millisecond
+
 // server is a backend server as the placer knows it.
 type server struct {
 	model.Server
@@ -249,7 +253,7 @@
 
 // usable tells whether the server may get a task now.
 func (s *server) usable(now time.Time) bool {
-	return s.known && (s.spread || now.Sub(s.found) >= spreadTime) && !s.silent && !s.Draining && now.Sub(s.heard) < seenWithin &&
+	return s.known && (s.spread || now.Sub(s.found) >= SpreadTime) && !s.silent && !s.Draining && now.Sub(s.heard) < seenWithin &&
 		!now.Before(s.pausedUntil) && s.health.allows(len(s.runs), now)
 }
 
