Take a table of servers for whole only while it is fresh

What callers saw: nothing yet. A host that placed next with an older version of the table of the placer before took it for whole, and started tasks again while they still ran on a server that it didn't know (placer.TestOlderTable). Found in a review; it needs a placer that is cut off from the next one.

Cause: the table counted as whole by the epoch of the placer that told it, whatever had come since. It stayed whole for jobs that came later too: an entry host that is cut off together with the old placer hands its jobs over when the cut ends.

Change: an answer to a pulse names the pulse that it answers, so the host knows a time at which the placer had no other servers: when it sent that pulse. The arrival would not do, as answers come late and a frozen host reads old ones. The table counts as whole for a job that is handed over less than TableTime after that, by the worst of the steady clock and the time of day, as a suspended machine sees the gap on the latter only. TableTime is SpreadTime, for which a new server isn't used without the host's confirmation, less the 0.3 s in which a task may begin after its host has left its placer, on clocks that differ by 4%. A table that a placer sends as it stops has no such end, also when the next one has an older version of it.

Wire: Pulse.Number and Pulsed.Answers.

Ruled out: dating a table by the stamp of the answer. It tells only how late the answer was at most, not at least.

Sums of times: core.TestTablesOutliveTakeovers holds that the table is whole after the detection of a lost placer, with the leader of the core lost too; runs.TestLeasesEndBeforeResends that it isn't once new servers may be in use.

Failed before: placer.TestOlderTable, three cases of placer.TestTableOfAge and, with answers dated by their arrival, nine of entry.TestTableIsDated.

--- a/entry/node.go
+++ b/entry/node.go
@@ -11,6 +11,7 @@
 	"dogwoodrock.example/dogwoodrock/msgs"
 	"dogwoodrock.example/dogwoodrock/placer"
 	"dogwoodrock.example/dogwoodrock/routes"
+	"dogwoodrock.example/dogwoodrock/runs"
 )
 
 const (
@@ -73,6 +74,8 @@
 	withdrawn  map[string][]withdrawn // lately, by the placer's host
 	servers    uint64                 // version of the table of backend servers
 	tableEpoch uint64
+	tableAt    time.Time // when the placer of tableEpoch is known to have had no newer one, zero for never
+	pulses     uint64    // number of the latest pulse
 
 	members []string // of the core
 	leader  string
@@ -94,6 +97,13 @@
 	silent      bool
 	idle        bool          // the host doesn't place under this epoch
 	stamp       time.Duration // latest that it told under this epoch, 0 for none
+	pulses      []sentPulse   // lately
+}
+
+// sentPulse is a pulse that was sent to a placer.
+type sentPulse struct {
+	number uint64
+	at     time.Time
 }
 
 // withdrawn is a job that was withdrawn from a placer.
@@ -141,6 +151,7 @@
 	n.jobs = map[string]*openJob{}
 	n.withdrawn = map[string][]withdrawn{}
 	n.heard = n.Now()
+	n.pulses = uint64(uint32(n.Incarnation)) // answers to an earlier process of this host name other numbers
 }
 
 // Handle takes one message.
@@ -287,7 +298,7 @@
 	n.placers[p.Host] = &placerState{epoch: p.Epoch, incarnation: p.Incarnation}
 	n.Hooks.Placed(p)
 	if p.DataCentre == n.DataCentre {
-		_ = n.Send(n.Self, msgs.ServicePlacer, placer.Placed{Placement: p}) // on this host
+		_ = n.Send(n.Self, msgs.ServicePlacer, placer.Placed{Placement: p, TableEpoch: n.tableEpoch, TableAt: n.tableAt}) // on this host
 	}
 	for _, j := range n.jobs {
 		if j.placement.DataCentre == p.DataCentre && !j.parked {
@@ -327,11 +338,14 @@
 // pulseTo sends one pulse.
 func (n *Node) pulseTo(host string, now time.Time) {
 	m := msgs.Pulse{Host: n.Self, DataCentre: n.DataCentre, Incarnation: n.Incarnation, Epoch: n.tableEpoch, Servers: n.servers}
+	n.pulses++
+	m.Number = n.pulses
 	for _, w := range n.withdrawn[host] {
 		m.Withdrawn = append(m.Withdrawn, w.job)
 	}
 	if s := n.placers[host]; s != nil {
 		n.ask(host, s, now)
+		s.note(m.Number, now)
 		if s.stamp > 0 {
 			m.Placing, m.Stamp = s.epoch, s.stamp
 		}
@@ -339,6 +353,22 @@
 	_ = n.Send(host, msgs.ServicePlacer, m) // asked again soon
 }
 
+// note keeps when a pulse was sent, as long as a table may be dated by it.
+func (s *placerState) note(number uint64, now time.Time) {
+	s.pulses = append(s.pulses, sentPulse{number: number, at: now})
+	s.pulses = slices.DeleteFunc(s.pulses, func(p sentPulse) bool { return now.Sub(p.at) > runs.TableTime })
+}
+
+// sentAt returns when a pulse was sent, a zero time when that isn't known.
+func (s *placerState) sentAt(number uint64) time.Time {
+	for _, p := range s.pulses {
+		if p.number == number {
+			return p.at
+		}
+	}
+	return time.Time{}
+}
+
 // forget drops the withdrawals that pulses need not list any more.
 func (n *Node) forget(now time.Time) {
 	for host, list := range n.withdrawn {
@@ -382,7 +412,7 @@
 	}
 	s.stamp = max(s.stamp, m.Stamp)
 	n.handParked(m.Host, now)
-	pulsed := n.placements[n.DataCentre].Host == m.Host && n.learnTable(m, now)
+	pulsed := n.placements[n.DataCentre].Host == m.Host && n.learnTable(m, s.sentAt(m.Answers), now)
 	if m.Ask && !pulsed {
 		n.pulseTo(m.Host, now)
 	}
@@ -428,13 +458,20 @@
 
 // learnTable passes on what has changed in the table of backend servers, and
 // confirms it at once by a pulse: the placer may use new servers then. It returns
-// whether anything has changed.
-func (n *Node) learnTable(m msgs.Pulsed, now time.Time) bool {
+// whether anything has changed. The placer had no newer table when the pulse that
+// it answers was sent.
+func (n *Node) learnTable(m msgs.Pulsed, sent, now time.Time) bool {
 	had := n.servers
 	if n.tableEpoch != m.Epoch {
 		had = 0
 	}
-	if m.Servers <= had || m.Since > had {
+	if m.Servers < had || m.Servers == 0 || m.Since > had {
+		return false
+	}
+	if n.tableEpoch != m.Epoch || sent.After(n.tableAt) {
+		n.tableAt = sent
+	}
+	if m.Servers == had {
 		return false
 	}
 	n.servers, n.tableEpoch = m.Servers, m.Epoch
--- /dev/null
+++ b/entry/table_test.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/msgs"
+	"dogwoodrock.example/dogwoodrock/placer"
+)
+
+// TestTableIsDated has a placer answer pulses. Its table is all of its servers at
+// the time at which the pulse was sent that it answers, however late that comes.
+func TestTableIsDated(t *testing.T) {
+	type answer struct {
+		pulse   int // that it answers, from 1
+		servers uint64
+		since   uint64
+		epoch   uint64        // 0 for that of the placer
+		late    time.Duration // after the pulse sent last
+	}
+	tests := map[string]struct {
+		answers []answer
+		epoch   uint64 // of the table, 0 for none
+		pulse   int    // when it was sent, the table was all, 0 for never
+	}{
+		"no answer":                                    {},
+		"an answer":                                    {answers: []answer{{pulse: 3, servers: 2}}, epoch: 4, pulse: 3},
+		"one to an earlier pulse":                      {answers: []answer{{pulse: 1, servers: 2}}, epoch: 4, pulse: 1},
+		"one that is late":                             {answers: []answer{{pulse: 3, servers: 2, late: time.Second}}, epoch: 4, pulse: 3},
+		"the same table again":                         {answers: []answer{{pulse: 1, servers: 2}, {pulse: 3, servers: 2, since: 2}}, epoch: 4, pulse: 3},
+		"answers that overtake each other":             {answers: []answer{{pulse: 3, servers: 2}, {pulse: 1, servers: 2}}, epoch: 4, pulse: 3},
+		"an older table after a newer one":             {answers: []answer{{pulse: 1, servers: 3}, {pulse: 3, servers: 2}}, epoch: 4, pulse: 1},
+		"a change told unasked":                        {answers: []answer{{pulse: 2, servers: 2}, {pulse: 2, servers: 3, since: 2, late: time.Second}}, epoch: 4, pulse: 2},
+		"a change from a version that it doesn't have": {answers: []answer{{pulse: 1, servers: 2}, {pulse: 3, servers: 5, since: 4}}, epoch: 4, pulse: 1},
+		"an answer to an earlier process":              {answers: []answer{{pulse: 99, servers: 2}}, epoch: 4},
+		"an answer without a table":                    {answers: []answer{{pulse: 3}}},
+		"the placer of another epoch":                  {answers: []answer{{pulse: 3, servers: 2, epoch: 3}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.tell(2, "v", placedA)
+			sent := map[int]time.Time{}
+			f.sent = nil
+			for len(f.pulses()["p1"]) < 3 {
+				had := len(f.pulses()["p1"])
+				f.Tick()
+				if n := len(f.pulses()["p1"]); n > had {
+					sent[n] = f.now
+				}
+				f.now = f.now.Add(tick)
+			}
+			asked := f.pulses()["p1"]
+			for _, a := range tt.answers {
+				f.now = f.now.Add(a.late)
+				m := msgs.Pulsed{Host: "p1", Incarnation: 1, Epoch: 4, Stamp: time.Second, Servers: a.servers, Since: a.since, Answers: 1 << 40}
+				if a.epoch != 0 {
+					m.Epoch = a.epoch
+				}
+				if a.pulse <= len(asked) {
+					m.Answers = asked[a.pulse-1].Number
+				}
+				f.Handle(m)
+			}
+			f.sent = nil
+			f.tell(0, "", placedA2)
+			for _, e := range f.sent {
+				m, ok := e.Body.(placer.Placed)
+				if !ok {
+					continue
+				}
+				if m.TableEpoch != tt.epoch || !m.TableAt.Equal(sent[tt.pulse]) {
+					t.Fatalf("table of epoch %d, all at %v, want epoch %d and %v", m.TableEpoch, m.TableAt, tt.epoch, sent[tt.pulse])
+				}
+				return
+			}
+			t.Fatal("the placer's service isn't told of the placement")
+		})
+	}
+}
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -15,10 +15,13 @@
 	// after four of them.
 	RenewInterval = 200 * time.Millisecond
 
-	placerSilence  = 4 * RenewInterval       // after which a placer is superseded: one lost message and a late one are borne
+	// PlacerSilence is the time after which a placer is superseded: one lost
+	// message and a late one are borne.
+	PlacerSilence = 4 * RenewInterval
+
 	suspectSilence = 3 * RenewInterval / 2   // the same for one that another host of its data centre can't reach
 	settleTime     = 11 * RenewInterval / 10 // in which a new leader only listens, so that every host has renewed
-	forgetAfter    = 20 * placerSilence      // after which a silent host is no longer listed
+	forgetAfter    = 20 * PlacerSilence      // after which a silent host is no longer listed
 	suspectFor     = 2 * RenewInterval       // how long a suspicion counts
 	placeRetry     = 500 * time.Millisecond  // after which a placement that wasn't committed is proposed again
 )
@@ -129,7 +132,7 @@
 	if now.Sub(w.suspects[p.Host]) < suspectFor && silent > suspectSilence {
 		return false
 	}
-	return silent <= placerSilence
+	return silent <= PlacerSilence
 }
 
 // best returns the host of a data centre that places best, of those that renewed
--- a/msgs/fleet.go
+++ b/msgs/fleet.go
@@ -87,6 +87,7 @@
 	Placing     uint64        // epoch of the placer that told Stamp, 0 for none
 	Stamp       time.Duration // latest that it told
 	Withdrawn   []JobWithdraw // jobs withdrawn from this placer lately
+	Number      uint64        // of this pulse, rises with each one of a process
 }
 
 // Pulsed answers a Pulse.
@@ -100,6 +101,7 @@
 	Table       []model.Server // that changed after Since
 	Stamp       time.Duration  // of the placer's steady clock, since its process began
 	Ask         bool           // the placer needs a pulse now
+	Answers     uint64         // number of the last pulse that the placer had, 0 for none
 }
 
 // ServerSeen passes a backend server's report on to its placer.
--- /dev/null
+++ b/placer/dated_test.go
@@ -0,0 +1,68 @@
+package placer
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
+	"dogwoodrock.example/dogwoodrock/msgs"
+	"dogwoodrock.example/dogwoodrock/runs"
+)
+
+// TestTableOfAge has a host begin to place with a table of some age, and a job come
+// that the placer before had. It may be on a server that the table lacks.
+func TestTableOfAge(t *testing.T) {
+	const former = waitEpoch + 2
+	tests := map[string]struct {
+		told   time.Duration // when the table was last known to be all, before the host places; 0 for never
+		ended  bool          // the placer before sent it as it stopped
+		after  time.Duration // the job comes so long after the host began to place
+		sends  bool          // the placer before sends its table then
+		starts int           // at once
+	}{
+		"told just before":                            {told: time.Millisecond, starts: 1},
+		"told as long ago as a takeover takes":        {told: runs.TableTime - tick, starts: 1},
+		"told longer ago":                             {told: runs.TableTime},
+		"never known to be all":                       {},
+		"sent by the placer before":                   {ended: true, starts: 1},
+		"a job that comes later":                      {told: time.Second, after: runs.TableTime - time.Second - tick, starts: 1},
+		"a job that comes too late":                   {told: time.Second, after: runs.TableTime - time.Second},
+		"a late job, after the former placer's end":   {ended: true, after: time.Minute, starts: 1},
+		"a late job, and the former placer stops":     {told: time.Second, after: time.Minute, sends: true, starts: 1},
+		"a table of no age, and the former one stops": {sends: true, starts: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWaiting()
+			w.stop("superseded")
+			servers := []model.Server{{Name: "s", DataCentre: "dc", Service: "svc", CPU: 100, Born: 1}}
+			w.adoptTable(Table{Epoch: former, Whole: true, Servers: servers})
+			if tt.told > 0 {
+				w.tableAt = w.now.Add(-tt.told)
+			}
+			table := model.ServerTable{DataCentre: "dc", Epoch: former, Version: 9, Servers: servers}
+			if tt.ended {
+				w.inherit(table, w.now)
+			}
+			w.placed(model.Placement{DataCentre: "dc", Host: "p1", Incarnation: 1, Epoch: former + 1, Former: former}, w.now)
+			w.answerLooks()
+			for end := w.now.Add(tt.after); w.now.Before(end); {
+				w.now = w.now.Add(min(100*time.Millisecond, end.Sub(w.now)))
+				w.beat(model.Server{Name: "s", DataCentre: "dc", Service: "svc", CPU: 100, Born: 1, Seq: uint64(w.now.UnixMilli())}, w.now)
+				w.placer.Tick(w.now)
+				w.answerLooks()
+			}
+			w.hand(msgs.JobHand{
+				Job: "j", Host: "h1", Incarnation: 1, Epoch: former + 1, Service: "svc", Tasks: 1, CPU: 60, Again: true, Hand: 1,
+				Expected: time.Millisecond, Objective: time.Minute, Expires: time.Minute, Attempts: 1,
+			}, w.now)
+			w.pulse(msgs.Pulse{Host: "h1", Incarnation: 1, Placing: former + 1, Stamp: w.now.Sub(w.began)}, w.now)
+			if tt.sends {
+				w.inherit(table, w.now)
+			}
+			if got := len(w.placer.Drain(w.now).Starts); got != tt.starts {
+				t.Fatalf("%d tasks begin at once, want %d", got, tt.starts)
+			}
+		})
+	}
+}
--- a/placer/former_test.go
+++ b/placer/former_test.go
@@ -58,6 +58,7 @@
 	next := newWaiting()
 	next.placer, next.latest, next.tableEpoch = nil, model.Placement{}, 0
 	next.adoptTable(Table{Epoch: told.Epoch, Whole: told.Since == 0, Servers: told.Table})
+	next.tableAt = w.now
 	w.beat(server("s2"), w.now) // not told to the next placer: the link to it is cut
 	look := func(n *waiting, active map[string][]runs.Listed) []runs.Start {
 		out := n.placer.Drain(n.now)
--- a/placer/node.go
+++ b/placer/node.go
@@ -62,6 +62,8 @@
 	version    uint64            // of servers
 	changed    map[string]change // of servers, by name
 	tableEpoch uint64            // of the placer that told servers
+	tableAt    time.Time         // when that placer is known to have had no others, zero for never
+	tableEnded bool              // that placer has stopped, and has had no others
 	placedFor  uint64            // latest epoch under which this process placed
 	hosts      map[string]*host
 	keepers    map[string]*keeper // of the table, by host
@@ -104,7 +106,9 @@
 
 // Placed tells the node who places for its data centre.
 type Placed struct {
-	Placement model.Placement
+	Placement  model.Placement
+	TableEpoch uint64    // of the latest placer whose table this host was told
+	TableAt    time.Time // when that placer is known to have had no other servers, zero for never
 }
 
 // Table is the table of backend servers that the placer of an epoch told an
@@ -155,6 +159,9 @@
 func (n *Node) handle(msg any, now time.Time) {
 	switch m := msg.(type) {
 	case Placed:
+		if m.TableEpoch == n.tableEpoch {
+			n.tableAt = m.TableAt
+		}
 		n.placed(m.Placement, now)
 	case Table:
 		n.adoptTable(m)
@@ -243,8 +250,11 @@
 	if p.Host != n.Self || p.Incarnation != n.Incarnation {
 		return // an earlier process of this host may have placed under this epoch
 	}
-	n.placer = runs.New(p.Epoch, p.Former == n.tableEpoch, now)
-	n.tableEpoch, n.placedFor = p.Epoch, p.Epoch
+	n.placer = runs.New(p.Epoch, p.Former == n.tableEpoch && n.tableDated(), now)
+	if !n.tableEnded {
+		n.placer.AsOf(n.tableAt)
+	}
+	n.tableEpoch, n.placedFor, n.tableEnded = p.Epoch, p.Epoch, true // other hosts end it only with this placer
 	n.placer.TakeOver(slices.Collect(maps.Values(n.servers)), now)
 	n.version, n.changed, n.hosts = 1, map[string]change{}, map[string]*host{}
 	n.keepers, n.confirmed = map[string]*keeper{}, 0
@@ -357,11 +367,19 @@
 	return Noted{Taken: true}
 }
 
+// tableDated tells whether it is known up to when the table has all servers of
+// the placer that told it. There is no other one before the first epoch.
+func (n *Node) tableDated() bool {
+	return n.tableEpoch == 0 || n.tableEnded || !n.tableAt.IsZero()
+}
+
 func (n *Node) adoptTable(m Table) {
-	if n.placer != nil {
+	if n.placer != nil || m.Epoch < n.tableEpoch || (m.Epoch == n.tableEpoch && n.tableEnded) {
 		return
 	}
-	n.tableEpoch = m.Epoch
+	if m.Epoch > n.tableEpoch {
+		n.tableEpoch, n.tableAt, n.tableEnded = m.Epoch, time.Time{}, false
+	}
 	if m.Whole {
 		clear(n.servers)
 	}
--- a/placer/table.go
+++ b/placer/table.go
@@ -20,9 +20,10 @@
 // keeper is another host of the data centre that was told the table under this
 // epoch. It may place next even when it isn't heard of any more.
 type keeper struct {
-	has  uint64    // version that it has confirmed, 0 for none
-	told uint64    // version that it was sent
-	at   time.Time // when it was sent one last
+	has   uint64    // version that it has confirmed, 0 for none
+	told  uint64    // version that it was sent
+	at    time.Time // when it was sent one last
+	pulse uint64    // number of its latest pulse
 }
 
 // leftMemory is how long a server that left stays in the table, for hosts that
@@ -51,7 +52,7 @@
 	h.near = m.DataCentre == n.DataCentre
 	if h.near {
 		k := n.keeper(m.Host)
-		k.has = 0
+		k.has, k.pulse = 0, m.Number
 		if m.Epoch == n.placer.Epoch() {
 			k.has = m.Servers
 		}
@@ -130,7 +131,7 @@
 	if h.near {
 		k := n.keeper(name)
 		k.told, k.at = n.version, now
-		reply.Servers, reply.Since = n.version, k.has
+		reply.Servers, reply.Since, reply.Answers = n.version, k.has, k.pulse
 		for _, c := range n.changed {
 			if c.version > k.has {
 				reply.Table = append(reply.Table, c.server)
@@ -176,8 +177,9 @@
 // inherit takes the table of the placer before, which has stopped.
 func (n *Node) inherit(t model.ServerTable, now time.Time) {
 	switch {
-	case n.placer == nil && t.Epoch > n.tableEpoch:
+	case n.placer == nil && t.Epoch >= n.tableEpoch:
 		n.adoptTable(Table{Epoch: t.Epoch, Whole: true, Servers: t.Servers})
+		n.tableEnded = true
 	case n.placer != nil && t.Epoch == n.latest.Former:
 		n.placer.Inherit(n.missed(t.Servers, now), now)
 	}
--- a/runs/bound_test.go
+++ b/runs/bound_test.go
@@ -22,6 +22,9 @@
 			}
 		})
 	}
+	if bySlow, byFast := slow(TableTime)+slow(freshTime), time.Duration(float64(SpreadTime)*clockRate); bySlow > byFast {
+		t.Errorf("a table counts as whole for jobs that begin elsewhere up to %v after it was asked for, and new servers are used after %v", bySlow, byFast)
+	}
 	if slow(waitTime) > settleTime {
 		t.Errorf("jobs of an earlier placer go on after %v, and its leases for %v", settleTime, slow(waitTime))
 	}
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -28,6 +28,7 @@
 	last     time.Time // last input
 	resumeAt time.Time // latest, after the placer stood still
 	whole    bool      // the servers used by the placer before are known
+	asOf     time.Time // up to when, zero for all
 
 	servers     map[string]*server
 	order       []*server // the same, by name
@@ -57,6 +58,7 @@
 	began   bool      // a task was started
 	start   time.Time // latest of a task
 	clear   time.Time // when no earlier placer can have prolonged its runs, while it waits for that
+	covered bool      // the table had all servers that they may be on when the job came
 }
 
 type task struct {
@@ -147,7 +149,8 @@
 	if !p.claim(k, now) {
 		return
 	}
-	if j.Again && !p.allKnown() {
+	k.covered = p.covers(now)
+	if j.Again && (!p.allKnown() || !p.sure(k)) {
 		k.clear = now.Add(settleTime)
 		p.again = append(p.again, k)
 		return
@@ -244,7 +247,7 @@
 	again := p.again
 	p.again = nil
 	for _, j := range again {
-		if !known && now.Before(j.clear) {
+		if now.Before(j.clear) && (!known || !p.sure(j)) {
 			p.again = append(p.again, j)
 			continue
 		}
@@ -252,6 +255,12 @@
 	}
 }
 
+// sure tells whether the table has all servers on which the placer before may have
+// started tasks of a job.
+func (p *Placer) sure(j *job) bool {
+	return j.covered || (p.whole && p.asOf.IsZero())
+}
+
 func (p *Placer) allKnown() bool {
 	for _, s := range p.order {
 		if !s.known {
--- a/runs/server.go
+++ b/runs/server.go
@@ -25,10 +25,19 @@
 	silencePause = 60 * time.Millisecond   // for a server that left an order unanswered, until a look tells more
 )
 
-// SpreadTime is how long a new server isn't used unless every host that may place
-// next has confirmed that it knows of it. A placer that is lost is superseded in
-// less, with its core's leader too.
-const SpreadTime = 2500 * time.Millisecond
+const (
+	// SpreadTime is how long a new server isn't used unless every host that may
+	// place next has confirmed that it knows of it. A placer that is lost is
+	// superseded in less, with its core's leader too.
+	SpreadTime = 2500 * time.Millisecond
+
+	// TableTime is how long a table has all servers that its placer has used for
+	// jobs that are handed to the next one: SpreadTime, less the time in which a
+	// task may begin after its host has left that placer, on any two clocks.
+	TableTime = SpreadTime*hostRates/100 - freshTime*100/hostRates
+
+	hostRates = 96 // percent: the steady clock of one host may be 2% slow as servers' clocks, and that of another one as fast
+)
 
 // server is a backend server as the placer knows it.
 type server struct {
@@ -103,10 +112,22 @@
 	}
 }
 
+// AsOf tells when the placer before is known to have had no other servers than
+// those that TakeOver names. It may have used others since.
+func (p *Placer) AsOf(at time.Time) {
+	p.asOf = at
+}
+
+// covers tells whether the servers are known that the placer before may have used
+// for a job that is handed over now.
+func (p *Placer) covers(now time.Time) bool {
+	return p.whole && (p.asOf.IsZero() || elapsed(p.asOf, now) < TableTime)
+}
+
 // Inherit is TakeOver after the placer began: now all servers are known that the
 // placer before has used.
 func (p *Placer) Inherit(servers []model.Server, now time.Time) {
-	p.whole = true
+	p.whole, p.asOf = true, time.Time{}
 	p.TakeOver(servers, now)
 }
 
--- a/runs/stall.go
+++ b/runs/stall.go
@@ -10,11 +10,9 @@
 // awake notes that the placer runs. After it stood still another host may place,
 // and a server that was restarted meanwhile doesn't know that one's fence. So it
 // looks at all servers again before it starts anything: one that follows the
-// other placer says so. A machine that was suspended sees the gap on the time of
-// day only.
+// other placer says so.
 func (p *Placer) awake(now time.Time) {
-	gap := max(now.Sub(p.last), now.Round(0).Sub(p.last.Round(0)))
-	stood := !p.last.IsZero() && gap > stallGap
+	stood := !p.last.IsZero() && elapsed(p.last, now) > stallGap
 	p.last = now
 	if !stood {
 		return
@@ -25,6 +23,12 @@
 	}
 }
 
+// elapsed returns how long ago a time was. A machine that was suspended since sees
+// that on the time of day only.
+func elapsed(at, now time.Time) time.Duration {
+	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
+}
+
 // resumed tells whether tasks may be started.
 func (p *Placer) resumed(now time.Time) bool {
 	if p.resumeAt.IsZero() {
