Let servers that are learned late or move be confirmed too

What callers saw: nothing yet. Two kinds of servers were used at once though other hosts didn't know of them: those of a table that comes after the placer began, from the placer before or from the core, and a server that reports another address. A host that places next with the table from before looks at all servers that it knows, where it takes them to be, and starts again what runs elsewhere.

Cause: the mark that the next placer knows of a server was set for all that an earlier placer had used, and kept when the address changed.

Change: only servers with which a placer begins count as known to others, since they are in each version of its table. Those that come later, and those that move, wait for the confirmation of the hosts like new ones.

Ruled out: another process of a server at the same address. A look at it names the server, and its answer tells the process.

--- a/placer/spread_test.go
+++ b/placer/spread_test.go
@@ -15,6 +15,20 @@
 	w.answerLooks()
 }
 
+var laterServer = model.Server{Name: "s", Address: "s", DataCentre: "dc", Service: "svc", CPU: 100, Born: 1, Seq: 1}
+
+// former has the table of the placer before come after this one began.
+func (w *waiting) former() {
+	w.inherit(model.ServerTable{DataCentre: "dc", Epoch: w.latest.Former, Servers: []model.Server{laterServer}}, w.now)
+	w.answerLooks()
+}
+
+// kept has a table come that the core has kept.
+func (w *waiting) kept() {
+	w.learn(model.ServerTable{DataCentre: "dc", Epoch: w.latest.Former, Servers: []model.Server{laterServer}}, w.now)
+	w.answerLooks()
+}
+
 func (w *waiting) answerLooks() {
 	for _, l := range w.placer.Drain(w.now).Looks {
 		w.placer.Looked(runs.Seen{Server: l.Server.Name, Born: 1, Seq: l.Seq, Outcome: runs.OutcomeTaken, Clock: 1, Sent: w.now}, w.now)
@@ -67,6 +81,31 @@
 			w.found("s")
 			w.pass(tick, "h1")
 		}},
+		"all but one have confirmed its new address": {act: func(w *waiting) {
+			w.pass(tick, "h1", "h2")
+			w.found("s")
+			w.pass(tick, "h1", "h2")
+			w.beat(model.Server{Name: "s", Address: "t", DataCentre: "dc", Service: "svc", CPU: 100, Born: 1, Seq: 2}, w.now)
+			w.pass(tick, "h1")
+		}},
+		"all have confirmed its new address": {act: func(w *waiting) {
+			w.pass(tick, "h1", "h2")
+			w.found("s")
+			w.beat(model.Server{Name: "s", Address: "t", DataCentre: "dc", Service: "svc", CPU: 100, Born: 1, Seq: 2}, w.now)
+			w.pass(tick, "h1", "h2")
+		}, used: 1},
+		"the placer before has sent it, and one hasn't confirmed it": {act: func(w *waiting) {
+			w.pass(tick, "h1", "h2")
+			w.former()
+			w.pass(tick, "h1")
+		}},
+		"the placer before has sent it": {act: func(w *waiting) { w.pass(tick, "h1", "h2"); w.former(); w.pass(tick, "h1", "h2") }, used: 1},
+		"the core has kept it, and one hasn't confirmed it": {act: func(w *waiting) {
+			w.pass(tick, "h1", "h2")
+			w.kept()
+			w.pass(tick, "h1")
+		}},
+		"the core has kept it":   {act: func(w *waiting) { w.pass(tick, "h1", "h2"); w.kept(); w.pass(tick, "h1", "h2") }, used: 1},
 		"all of them are silent": {act: func(w *waiting) { w.pass(tick, "h1", "h2"); w.pass(silent); w.found("s"); w.pass(tick) }},
 		"one that was silent has another process": {act: func(w *waiting) {
 			w.pass(tick, "h1", "h2")
--- a/placer/table.go
+++ b/placer/table.go
@@ -189,7 +189,7 @@
 // runs on others isn't known.
 func (n *Node) learn(t model.ServerTable, now time.Time) {
 	if n.placer != nil && t.Epoch < n.placer.Epoch() {
-		n.placer.TakeOver(n.missed(t.Servers, now), now)
+		n.placer.Learn(n.missed(t.Servers, now), now)
 	}
 }
 
--- a/runs/server.go
+++ b/runs/server.go
@@ -42,7 +42,7 @@
 // server is a backend server as the placer knows it.
 type server struct {
 	model.Server
-	found  time.Time       // first report
+	found  time.Time       // when this placer heard of it first, or of its address
 	spread bool            // the next placer would know of it
 	heard  time.Time       // last report or answer
 	known  bool            // looked at under this epoch
@@ -105,7 +105,8 @@
 	stateStopped  // until its end is listed
 )
 
-// TakeOver notes the servers of the placer before.
+// TakeOver notes the servers that the placer begins with. Whoever has its table
+// knows of them.
 func (p *Placer) TakeOver(servers []model.Server, now time.Time) {
 	for _, m := range servers {
 		p.add(&server{Server: m, heard: now, spread: true, runs: map[string]*run{}})
@@ -124,11 +125,18 @@
 	return p.whole && (p.asOf.IsZero() || elapsed(p.asOf, now) < TableTime)
 }
 
-// Inherit is TakeOver after the placer began: now all servers are known that the
-// placer before has used.
+// Learn notes servers of an earlier placer after this one began.
+func (p *Placer) Learn(servers []model.Server, now time.Time) {
+	for _, m := range servers {
+		p.add(&server{Server: m, found: now, heard: now, runs: map[string]*run{}})
+	}
+}
+
+// Inherit is Learn with the table of the placer before, which has stopped: now all
+// servers are known that it has used.
 func (p *Placer) Inherit(servers []model.Server, now time.Time) {
 	p.whole, p.asOf = true, time.Time{}
-	p.TakeOver(servers, now)
+	p.Learn(servers, now)
 }
 
 // Spread tells that the next placer would know of a server.
@@ -174,6 +182,9 @@
 	case m.Born != s.Born:
 		p.reborn(s, m.Born)
 	}
+	if m.Address != s.Address {
+		s.found, s.spread = now, false // the next placer would look elsewhere
+	}
 	s.Server = m
 	s.heard = now
 }
