Prefer the host with the newest table as the next placer

What callers saw: nothing yet. The core chose the next placer among the hosts that had any version of the table of the one before, by processor time, and told a placer the table that it had kept only if that was of a later epoch. With an older version jobs that are handed over again may have to wait 1.1 s for servers that another host knew of.

Cause: the epoch of a table was taken for all of its age. Renewals carry the version as well.

Change: of the hosts with the table of the epoch before, the one with the newest version places next; a placer whose table is of the same epoch as the kept one but older is told the kept one. It stays a hint: the table that a placer begins with counts as whole by its own age.

Ruled out: to place by the freshest contact between host and placer. A host with the newest version may have lost the contact since; then its jobs wait.

fleet.TestWatch and core.TestExchangeTable failed before in a case each.

--- a/core/hosts.go
+++ b/core/hosts.go
@@ -42,7 +42,7 @@
 	has := model.ServerTable{Epoch: m.Epoch, Version: m.Servers}
 	switch {
 	case !ok || p.Host != host || p.Incarnation != m.Incarnation:
-	case m.Epoch < kept.Epoch:
+	case m.Epoch < p.Epoch && kept.Newer(has):
 		reply.Table = &kept
 	case m.Epoch == p.Epoch && has.Newer(kept) && now.Sub(n.askedAt[m.DataCentre]) >= keepInterval:
 		n.askedAt[m.DataCentre] = now
--- a/core/table_test.go
+++ b/core/table_test.go
@@ -20,6 +20,8 @@
 		"a placer that has started anew": {renew: msgs.HostRenew{Host: "h1", Incarnation: 7}, told: true},
 		"one with an older table":        {renew: msgs.HostRenew{Host: "h1", Incarnation: 7, Epoch: 3, Servers: 9}, told: true},
 		"one with this table":            {renew: msgs.HostRenew{Host: "h1", Incarnation: 7, Epoch: 4, Servers: 2}},
+		"one with an older version":      {renew: msgs.HostRenew{Host: "h1", Incarnation: 7, Epoch: 4, Servers: 1}, told: true},
+		"one with a newer version":       {renew: msgs.HostRenew{Host: "h1", Incarnation: 7, Epoch: 4, Servers: 3}},
 		"one with a newer table":         {renew: msgs.HostRenew{Host: "h1", Incarnation: 7, Epoch: 5, Servers: 1}, keep: true},
 		"it was asked a moment ago":      {renew: msgs.HostRenew{Host: "h1", Incarnation: 7, Epoch: 5, Servers: 1}, asked: time.Second},
 		"it was asked some time ago":     {renew: msgs.HostRenew{Host: "h1", Incarnation: 7, Epoch: 5, Servers: 1}, asked: 2 * time.Second, keep: true},
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -137,7 +137,8 @@
 
 // best returns the host of a data centre that places best, of those that renewed
 // within the last interval or so: one that has the table of backend servers of the
-// epoch before goes first, as it can take over at once, then the most processor time.
+// epoch before goes first, as it can take over at once, the newest version before the
+// others, then the most processor time.
 func (w *Watch) best(dc string, before uint64, now time.Time) *watched {
 	var best *watched
 	for _, name := range slices.Sorted(maps.Keys(w.hosts)) {
@@ -152,9 +153,17 @@
 	return best
 }
 
+// tableOf ranks the versions of the table of an epoch, 0 for a host without it.
+func (h *watched) tableOf(epoch uint64) uint64 {
+	if h.renew.Epoch != epoch {
+		return 0
+	}
+	return h.renew.Servers + 1
+}
+
 func (h *watched) placesBetter(than *watched, before uint64) bool {
-	if has := h.renew.Epoch == before; has != (than.renew.Epoch == before) {
-		return has
+	if has := h.tableOf(before); has != than.tableOf(before) {
+		return has > than.tableOf(before)
 	}
 	return h.renew.Capacity > than.renew.Capacity
 }
--- a/fleet/watch_test.go
+++ b/fleet/watch_test.go
@@ -36,6 +36,11 @@
 	suspects.Suspect = "h1"
 	hasTable := host("h3", 100)
 	hasTable.Epoch = 5
+	newer, older, same, former := hasTable, host("h2", 300), hasTable, hasTable
+	newer.Servers = 8
+	older.Epoch, older.Servers = 5, 7
+	same.Servers = 7
+	former.Epoch, former.Servers = 4, 9
 	both := slices.Concat(renewals(0, 2*time.Second, host("h1", 900)), renewals(0, 2*time.Second, host("h2", 300)))
 	tests := map[string]struct {
 		steps   []step
@@ -55,6 +60,15 @@
 		"a host with the table of servers goes before one with more processor time": {
 			steps: slices.Concat(renewals(0, 2*time.Second, host("h2", 300)), renewals(0, 2*time.Second, hasTable)), current: placed, at: 2 * time.Second, want: "h3",
 		},
+		"a host with a newer table goes before one with more processor time": {
+			steps: slices.Concat(renewals(0, 2*time.Second, newer), renewals(0, 2*time.Second, older)), current: placed, at: 2 * time.Second, want: "h3",
+		},
+		"a host with the same table and more processor time": {
+			steps: slices.Concat(renewals(0, 2*time.Second, same), renewals(0, 2*time.Second, older)), current: placed, at: 2 * time.Second, want: "h2",
+		},
+		"versions of other tables": {
+			steps: slices.Concat(renewals(0, 2*time.Second, former), renewals(0, 2*time.Second, host("h2", 300))), current: placed, at: 2 * time.Second, want: "h2",
+		},
 		"a placer that follows the leader before":       {steps: renewals(0, 700*time.Millisecond, host("h2", 300)), current: placed, at: 700 * time.Millisecond},
 		"one that doesn't come to the new leader":       {steps: renewals(0, 900*time.Millisecond, host("h2", 300)), current: placed, at: 900 * time.Millisecond, want: "h2"},
 		"one that doesn't come, and others can't reach": {steps: renewals(0, 400*time.Millisecond, suspects), current: placed, at: 400 * time.Millisecond, want: "h2"},
