Don't take a server back that has left from a late table

What callers saw: nothing yet. A server that had said that it leaves came back with the table of the placer before or of the core, if that came later. It got tasks again, and the placer had it twice: what was booked on the first entry was lost to its looks.

Cause: a server that isn't in the table was taken for one that nobody knew.

placer.TestLeftServerInLateTable failed before in both cases.

--- a/placer/table.go
+++ b/placer/table.go
@@ -193,11 +193,12 @@
 	}
 }
 
-// missed notes and returns those of the servers that aren't known yet.
+// missed notes and returns those of the servers that aren't known yet. One that has
+// left since reports itself when it comes back.
 func (n *Node) missed(servers []model.Server, now time.Time) []model.Server {
 	var list []model.Server
 	for _, s := range servers {
-		if _, ok := n.servers[s.Name]; !ok {
+		if _, ok := n.servers[s.Name]; !ok && !n.changed[s.Name].server.Left {
 			list = append(list, s)
 			n.note(s, now)
 		}
