Let jobs wait for the leases of every placer that had them

What callers saw: nothing yet; found while the table of the placer before was made to age. Two placers in a row could be lost within a second of each other: the first one had started a task on a server that the second one didn't know, so that one waited for the leases of the first to end. The third had the whole table of the second and waited for nothing. The same with an entry host that was cut off with the first placer and heard of the third only.

Cause: a placer without the whole table of the one before told its own as whole. It is, but only for what it has used itself. Which placers had a job was known to its entry host alone.

Change: a job that is handed over again names the placer that had it before, and since when, if others had it earlier. Its tasks wait for 1.1 s after it was taken from a placer that isn't the one before, as those of jobs without a whole table do. A second takeover within that time is later by what is left of it.

Wire: JobHand.Former and JobHand.Held. The log line JobHanded has both.

Ruled out: to tell no table until the leases of earlier placers are over, as new servers would wait too; to ask the core for the history of placements, as it doesn't tell when each entry host followed it.

Without the wait three cases of placer.TestEarlierPlacers fail.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -102,6 +102,7 @@
 	came      time.Time
 	expires   time.Time
 	placement model.Placement
+	passed    time.Time       // when it was passed from one placer to the next last, zero for never
 	parked    bool            // it waits for the next placer: nobody has had it
 	tried     map[string]bool // data centres that refused it, for their load
 	waiters   map[uint64]func(Outcome)
@@ -201,6 +202,7 @@
 
 // hand gives a job to a placer.
 func (n *Node) hand(j *openJob, p model.Placement, again bool, now time.Time) {
+	j.pass(again, now)
 	j.placement, j.parked = p, false
 	n.handed++
 	j.hand.Hand = n.handed
@@ -212,6 +214,19 @@
 	}
 }
 
+// pass notes which placers may have started a job that is about to be handed over.
+func (j *openJob) pass(again bool, now time.Time) {
+	passed := j.passed
+	j.hand.Former, j.hand.Held, j.passed = 0, 0, time.Time{}
+	if !again {
+		return
+	}
+	j.hand.Former, j.passed = j.placement.Epoch, now
+	if !passed.IsZero() {
+		j.hand.Held = max(now.Sub(passed), time.Nanosecond)
+	}
+}
+
 // ended takes the placer's word. One of an earlier epoch counts too: it tells
 // what became of runs that it had started.
 func (n *Node) ended(m msgs.JobEnded, now time.Time) {
--- a/entry/table_test.go
+++ b/entry/table_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"dogwoodrock.example/dogwoodrock/model"
 	"dogwoodrock.example/dogwoodrock/msgs"
 	"dogwoodrock.example/dogwoodrock/placer"
 )
@@ -78,3 +79,39 @@
 		})
 	}
 }
+
+// TestFormerPlacers has a job pass from placer to placer. Each is told which one may
+// have started it before, and for how long that one had it after others.
+func TestFormerPlacers(t *testing.T) {
+	placed := func(f *fixture, after time.Duration, epoch uint64) {
+		f.now = f.now.Add(after)
+		f.tell(0, "", model.Placement{DataCentre: "a", Host: "p2", Incarnation: 1, Epoch: epoch})
+	}
+	tests := map[string]struct {
+		act    func(f *fixture)
+		former uint64
+		held   time.Duration
+	}{
+		"the first":          {act: func(*fixture) {}},
+		"the second":         {act: func(f *fixture) { placed(f, time.Second, 6) }, former: 4},
+		"the third":          {act: func(f *fixture) { placed(f, time.Second, 6); placed(f, 300*time.Millisecond, 7) }, former: 6, held: 300 * time.Millisecond},
+		"the third, at once": {act: func(f *fixture) { placed(f, time.Second, 6); placed(f, 0, 7) }, former: 6, held: time.Nanosecond},
+		"the fourth":         {act: func(f *fixture) { placed(f, 0, 6); placed(f, time.Second, 7); placed(f, 2*time.Second, 9) }, former: 7, held: 2 * time.Second},
+		"one after some that the host didn't hear of": {act: func(f *fixture) { placed(f, time.Second, 9) }, former: 4},
+		"another data centre, when the own one refused it": {act: func(f *fixture) {
+			f.Handle(msgs.JobEnded{Job: "j", Host: "p1", Epoch: 4, State: model.JobEndRefused})
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.tell(2, "v", placedA, placedB)
+			f.submitLong("j", "/v/j", time.Minute)
+			tt.act(f)
+			hands := f.hands()
+			if last := hands[len(hands)-1]; last.Former != tt.former || last.Held != tt.held {
+				t.Fatalf("hand-over %+v, want one after epoch %d, which had it for %v", last, tt.former, tt.held)
+			}
+		})
+	}
+}
--- a/events/hosted.go
+++ b/events/hosted.go
@@ -115,8 +115,8 @@
 		Action:  "None.",
 	}
 	JobHanded = Event{
-		Code: 632, Name: "JobHanded", Level: zerolog.DebugLevel, Fields: []string{"Job", "From", "Again", "AgeMs"},
-		Meaning: "The placer took a job from an entry host.",
+		Code: 632, Name: "JobHanded", Level: zerolog.DebugLevel, Fields: []string{"Job", "From", "Again", "Former", "HeldMs", "AgeMs"},
+		Meaning: "The placer took a job from an entry host. Former is the epoch of the placer that had it before, HeldMs how long that one had it after another one.",
 		Action:  "None.",
 	}
 	JobPlaced = Event{
--- a/hosted/hooks.go
+++ b/hosted/hooks.go
@@ -116,7 +116,8 @@
 		},
 		State: h.placerState,
 		Hand: func(m msgs.JobHand) {
-			h.Log.At(events.JobHanded).Str("Job", m.Job).Str("From", m.Host).Bool("Again", m.Again).Int64("AgeMs", m.Age.Milliseconds()).Send()
+			h.Log.At(events.JobHanded).Str("Job", m.Job).Str("From", m.Host).Bool("Again", m.Again).Uint64("Former", m.Former).
+				Int64("HeldMs", m.Held.Milliseconds()).Int64("AgeMs", m.Age.Milliseconds()).Send()
 		},
 		Event: h.runEvent,
 		End: func(e runs.End) {
--- a/msgs/fleet.go
+++ b/msgs/fleet.go
@@ -53,8 +53,10 @@
 	Expires      time.Duration // since the job came, after which nobody waits for it
 	Label        string
 	PerServer    int
-	Strict       bool   // to be refused unless it can meet its objective
-	Hand         uint64 // number of this hand-over, rises on the entry host
+	Strict       bool          // to be refused unless it can meet its objective
+	Hand         uint64        // number of this hand-over, rises on the entry host
+	Former       uint64        // epoch of the placer that had it before, 0 for none
+	Held         time.Duration // since that one got it from another one, 0 if it had it first
 }
 
 // JobWithdraw tells the placer that nobody waits for the job any more, as far as
--- a/placer/dated_test.go
+++ b/placer/dated_test.go
@@ -9,6 +9,16 @@
 	"dogwoodrock.example/dogwoodrock/runs"
 )
 
+// handAgain has host h1 hand a job over that the placer of an epoch had, since some
+// time after another one.
+func (w *waiting) handAgain(former uint64, held time.Duration) {
+	w.hand(msgs.JobHand{
+		Job: "j", Host: "h1", Incarnation: 1, Epoch: w.latest.Epoch, Service: "svc", Tasks: 1, CPU: 60, Again: true, Hand: 1,
+		Former: former, Held: held, Expected: time.Millisecond, Objective: time.Minute, Expires: time.Minute, Attempts: 1,
+	}, w.now)
+	w.pulse(msgs.Pulse{Host: "h1", Incarnation: 1, Placing: w.latest.Epoch, Stamp: w.now.Sub(w.began)}, w.now)
+}
+
 // TestTableOfAge has a host begin to place with a table of some age, and a job come
 // that the placer before had. It may be on a server that the table lacks.
 func TestTableOfAge(t *testing.T) {
@@ -52,11 +62,7 @@
 				w.placer.Tick(w.now)
 				w.answerLooks()
 			}
-			w.hand(msgs.JobHand{
-				Job: "j", Host: "h1", Incarnation: 1, Epoch: former + 1, Service: "svc", Tasks: 1, CPU: 60, Again: true, Hand: 1,
-				Expected: time.Millisecond, Objective: time.Minute, Expires: time.Minute, Attempts: 1,
-			}, w.now)
-			w.pulse(msgs.Pulse{Host: "h1", Incarnation: 1, Placing: former + 1, Stamp: w.now.Sub(w.began)}, w.now)
+			w.handAgain(former, 0)
 			if tt.sends {
 				w.inherit(table, w.now)
 			}
@@ -66,3 +72,42 @@
 		})
 	}
 }
+
+// TestEarlierPlacers has a job come that other placers had than the one whose table
+// the host has. They may have used other servers.
+func TestEarlierPlacers(t *testing.T) {
+	const former, lease = waitEpoch + 2, 1100 * time.Millisecond // the last lease ends by then
+	tests := map[string]struct {
+		former uint64
+		held   time.Duration
+		waits  time.Duration
+	}{
+		"the placer before had it first":                {former: former},
+		"it had it shortly after another one":           {former: former, held: 300 * time.Millisecond, waits: lease - 300*time.Millisecond},
+		"it had it long after another one":              {former: former, held: lease},
+		"its host knew only the placer before that one": {former: waitEpoch, waits: lease},
+		"its host meant an earlier placer":              {waits: lease},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWaiting()
+			w.stop("superseded")
+			w.inherit(model.ServerTable{DataCentre: "dc", Epoch: former, Servers: []model.Server{laterServer}}, w.now)
+			w.placed(model.Placement{DataCentre: "dc", Host: "p1", Incarnation: 1, Epoch: former + 1, Former: former}, w.now)
+			w.answerLooks()
+			w.handAgain(tt.former, tt.held)
+			waited := -tick
+			for begin := w.now; len(w.placer.Drain(w.now).Starts) == 0; w.now = w.now.Add(tick) {
+				waited = w.now.Sub(begin)
+				if waited > 2*lease {
+					t.Fatalf("nothing begins in %v", waited)
+				}
+				w.placer.Waits("h1", w.now)
+				w.placer.Tick(w.now)
+			}
+			if waited += tick; waited < tt.waits || waited > tt.waits+2*tick {
+				t.Fatalf("its task begins after %v, want %v", waited, tt.waits)
+			}
+		})
+	}
+}
--- a/placer/former_test.go
+++ b/placer/former_test.go
@@ -69,9 +69,9 @@
 		}
 		return append(out.Starts, n.placer.Drain(n.now).Starts...)
 	}
-	hand := func(n *waiting, again bool, epoch uint64) {
+	hand := func(n *waiting, again bool, former, epoch uint64) {
 		n.hand(msgs.JobHand{
-			Job: "j", Host: "far", Incarnation: 1, Epoch: epoch, Service: "svc", Tasks: 1, CPU: 60, Again: again, Hand: 1,
+			Job: "j", Host: "far", Incarnation: 1, Epoch: epoch, Service: "svc", Tasks: 1, CPU: 60, Again: again, Hand: 1, Former: former,
 			Expected: time.Millisecond, Objective: time.Minute, Expires: time.Minute, Attempts: 1,
 		}, n.now)
 		n.pulse(msgs.Pulse{Host: "far", Incarnation: 1, Placing: epoch, Stamp: n.now.Sub(n.began)}, n.now)
@@ -89,14 +89,14 @@
 		w.beat(r, w.now)
 	}
 	w.beat(model.Server{Name: "s1", DataCentre: "dc", Service: "svc", CPU: 100, Born: 1, Seq: 3, Draining: true}, w.now)
-	hand(w, false, before)
+	hand(w, false, 0, before)
 	starts := look(w, nil)
 	if len(starts) != 1 || starts[0].Server.Name != "s2" {
 		t.Fatalf("starts %+v, want one on s2", starts)
 	}
 	next.now = w.now
 	next.placed(model.Placement{DataCentre: "dc", Host: "p1", Incarnation: 1, Epoch: before + 1, Former: before}, next.now)
-	hand(next, true, before+1)
+	hand(next, true, before, before+1)
 	for _, o := range look(next, nil) {
 		t.Fatalf("%s is started on %s while the run of the placer before may be on s2", o.Task, o.Server.Name)
 	}
--- a/placer/node.go
+++ b/placer/node.go
@@ -251,6 +251,7 @@
 		return // an earlier process of this host may have placed under this epoch
 	}
 	n.placer = runs.New(p.Epoch, p.Former == n.tableEpoch && n.tableDated(), now)
+	n.placer.Follow(p.Former)
 	if !n.tableEnded {
 		n.placer.AsOf(n.tableAt)
 	}
@@ -312,6 +313,8 @@
 		Objective: m.Objective,
 		Expires:   m.Expires,
 		Strict:    m.Strict,
+		Former:    m.Former,
+		Held:      m.Held,
 		Again:     m.Again || m.Epoch != n.placer.Epoch(), // an earlier process may have taken it
 	}, now)
 	if h := n.hosts[m.Host]; h.toAsk(now) {
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -29,6 +29,7 @@
 	resumeAt time.Time // latest, after the placer stood still
 	whole    bool      // the servers used by the placer before are known
 	asOf     time.Time // up to when, zero for all
+	former   uint64    // epoch of the placer before
 
 	servers     map[string]*server
 	order       []*server // the same, by name
@@ -58,6 +59,7 @@
 	began   bool      // a task was started
 	start   time.Time // latest of a task
 	clear   time.Time // when no earlier placer can have prolonged its runs, while it waits for that
+	others  time.Time // when the leases are over that placers before the last one gave its runs
 	covered bool      // the table had all servers that they may be on when the job came
 }
 
@@ -149,8 +151,8 @@
 	if !p.claim(k, now) {
 		return
 	}
-	k.covered = p.covers(now)
-	if j.Again && (!p.allKnown() || !p.sure(k)) {
+	k.covered, k.others = p.covers(now), now.Add(p.others(j))
+	if j.Again && (!p.allKnown() || !p.sure(k, now)) {
 		k.clear = now.Add(settleTime)
 		p.again = append(p.again, k)
 		return
@@ -247,7 +249,7 @@
 	again := p.again
 	p.again = nil
 	for _, j := range again {
-		if now.Before(j.clear) && (!known || !p.sure(j)) {
+		if now.Before(j.clear) && (!known || !p.sure(j, now)) {
 			p.again = append(p.again, j)
 			continue
 		}
@@ -255,10 +257,22 @@
 	}
 }
 
-// sure tells whether the table has all servers on which the placer before may have
-// started tasks of a job.
-func (p *Placer) sure(j *job) bool {
-	return j.covered || (p.whole && p.asOf.IsZero())
+// sure tells whether the table has all servers on which earlier placers may have
+// left tasks of a job.
+func (p *Placer) sure(j *job, now time.Time) bool {
+	return !now.Before(j.others) && (j.covered || (p.whole && p.asOf.IsZero()))
+}
+
+// others returns how long the leases may last that others than the placer before
+// gave runs of a job: servers that only they have used aren't in the table.
+func (p *Placer) others(j Job) time.Duration {
+	switch {
+	case j.Former != p.former:
+		return settleTime
+	case j.Held > 0:
+		return max(0, settleTime-j.Held)
+	}
+	return 0
 }
 
 func (p *Placer) allKnown() bool {
--- a/runs/server.go
+++ b/runs/server.go
@@ -113,6 +113,11 @@
 	}
 }
 
+// Follow names the epoch of the placer before.
+func (p *Placer) Follow(former uint64) {
+	p.former = former
+}
+
 // AsOf tells when the placer before is known to have had no other servers than
 // those that TakeOver names. It may have used others since.
 func (p *Placer) AsOf(at time.Time) {
--- a/runs/types.go
+++ b/runs/types.go
@@ -23,6 +23,8 @@
 	Objective   time.Duration // since Came, in which its end is worth most
 	Expires     time.Duration // since Came, after which nobody waits for it
 	Again       bool          // an earlier placer may have started it
+	Former      uint64        // epoch of the placer that had it before, 0 for none
+	Held        time.Duration // since that one got it from another one, 0 if it had it first
 	Strict      bool          // to be refused unless it can meet its objective: another placer may
 }
 
