--- a/msgs/fleet.go
+++ b/msgs/fleet.go
@@ -90,6 +90,7 @@
 	Stamp       time.Duration // latest that it told
 	Withdrawn   []JobWithdraw // jobs withdrawn from this placer lately
 	Number      uint64        // of this pulse, rises with each one of a process
+	Oldest      uint64        // number of the earliest hand-over to this placer that the host waits for; all before are withdrawn
 }
 
 // Pulsed answers a Pulse.
--- a/placer/table.go
+++ b/placer/table.go
@@ -57,6 +57,7 @@
 			k.has = m.Servers
 		}
 	}
+	n.placer.WaitsFrom(m.Host, m.Oldest, now)
 	for _, w := range m.Withdrawn {
 		w.Host = m.Host
 		n.withdraw(w, now)
