Log with which table a placer begins

Whether jobs that are handed over again have to wait follows from the epoch of the table that the next placer has and from its age; neither was logged. The line PlacingBegan now has the epoch of the placer before, that of the table, and for how long its placer may have used other servers.

--- a/events/hosted.go
+++ b/events/hosted.go
@@ -105,8 +105,8 @@
 		Action:  "Tell the caller what the error names.",
 	}
 	PlacingBegan = Event{
-		Code: 630, Name: "PlacingBegan", Level: zerolog.InfoLevel, Fields: []string{"DataCentre", "Epoch", "Servers"},
-		Meaning: "This host places the runs of its data centre from now on.",
+		Code: 630, Name: "PlacingBegan", Level: zerolog.InfoLevel, Fields: []string{"DataCentre", "Epoch", "Former", "Servers", "TableEpoch", "TableMs"},
+		Meaning: "This host places the runs of its data centre from now on. It begins with the servers of a table that the placer of TableEpoch told; that one may have used others for TableMs, -1 when nothing is known of that.",
 		Action:  "None.",
 	}
 	PlacingEnded = Event{
--- a/hosted/hooks.go
+++ b/hosted/hooks.go
@@ -105,9 +105,10 @@
 
 func (h *Host) placerHooks() placer.Hooks {
 	return placer.Hooks{
-		Began: func(p model.Placement, servers int) {
+		Began: func(p model.Placement, t placer.Begun) {
 			h.Counts.Epoch.Set(float64(p.Epoch))
-			h.Log.At(events.PlacingBegan).Str("DataCentre", p.DataCentre).Uint64("Epoch", p.Epoch).Int("Servers", servers).Send()
+			h.Log.At(events.PlacingBegan).Str("DataCentre", p.DataCentre).Uint64("Epoch", p.Epoch).Uint64("Former", p.Former).
+				Int("Servers", t.Servers).Uint64("TableEpoch", t.Epoch).Int64("TableMs", t.Age.Milliseconds()).Send()
 		},
 		Ended: func(epoch uint64, reason string, jobs int) {
 			h.Counts.Epoch.Set(0)
--- a/placer/node.go
+++ b/placer/node.go
@@ -37,7 +37,7 @@
 
 // Hooks are the seams for events and counters.
 type Hooks struct {
-	Began func(p model.Placement, servers int)
+	Began func(p model.Placement, t Begun)
 	Ended func(epoch uint64, reason string, jobs int)
 	Event func(epoch uint64, e runs.Event)
 	End   func(e runs.End)
@@ -119,6 +119,16 @@
 	Servers []model.Server
 }
 
+// Begun is the table that a placer begins with.
+type Begun struct {
+	Epoch   uint64 // of the placer that told it, 0 for none
+	Servers int
+	Age     time.Duration // see tableAge
+}
+
+// unknownAge is the age of a table whose placer may have had others all the time.
+const unknownAge = -time.Millisecond
+
 // Beat is a report that a backend server sent to this host.
 type Beat struct {
 	Server model.Server
@@ -250,19 +260,20 @@
 	if p.Host != n.Self || p.Incarnation != n.Incarnation {
 		return // an earlier process of this host may have placed under this epoch
 	}
-	n.placer = runs.New(p.Epoch, p.Former == n.tableEpoch && n.tableDated(), now)
+	table := Begun{Epoch: n.tableEpoch, Servers: len(n.servers), Age: n.tableAge(now)}
+	n.placer = runs.New(p.Epoch, p.Former == table.Epoch && table.Age >= 0, now)
 	n.placer.Follow(p.Former)
-	if !n.tableEnded {
+	if table.Age > 0 {
 		n.placer.AsOf(n.tableAt)
 	}
-	n.tableEpoch, n.placedFor, n.tableEnded = p.Epoch, p.Epoch, true // other hosts end it only with this placer
 	n.placer.TakeOver(slices.Collect(maps.Values(n.servers)), now)
+	n.tableEpoch, n.tableAt, n.tableEnded, n.placedFor = p.Epoch, time.Time{}, false, p.Epoch
 	n.version, n.changed, n.hosts = 1, map[string]change{}, map[string]*host{}
 	n.keepers, n.confirmed = map[string]*keeper{}, 0
 	for name, s := range n.servers {
 		n.changed[name] = change{version: 1, server: s, at: now}
 	}
-	n.Hooks.Began(p, len(n.servers))
+	n.Hooks.Began(p, table)
 	waiting := n.early
 	n.early = nil
 	for _, e := range waiting {
@@ -280,7 +291,7 @@
 		return
 	}
 	n.Hooks.Ended(n.placer.Epoch(), reason, n.placer.Jobs())
-	n.placer = nil
+	n.placer, n.tableEnded = nil, true
 }
 
 func (n *Node) hand(m msgs.JobHand, now time.Time) {
@@ -370,10 +381,16 @@
 	return Noted{Taken: true}
 }
 
-// tableDated tells whether it is known up to when the table has all servers of
-// the placer that told it. There is no other one before the first epoch.
-func (n *Node) tableDated() bool {
-	return n.tableEpoch == 0 || n.tableEnded || !n.tableAt.IsZero()
+// tableAge returns for how long the placer that told the table may have used other
+// servers, 0 when it has stopped or there was none, or unknownAge.
+func (n *Node) tableAge(now time.Time) time.Duration {
+	switch {
+	case n.tableEpoch == 0 || n.tableEnded:
+		return 0
+	case n.tableAt.IsZero():
+		return unknownAge
+	}
+	return max(now.Sub(n.tableAt), time.Nanosecond)
 }
 
 func (n *Node) adoptTable(m Table) {
--- a/placer/table_test.go
+++ b/placer/table_test.go
@@ -51,7 +51,7 @@
 		return &Node{
 			Self: name, DataCentre: "dc", Incarnation: 1,
 			servers: map[string]model.Server{}, hosts: map[string]*host{},
-			Hooks: Hooks{Began: func(model.Placement, int) {}, Ended: func(uint64, string, int) {}},
+			Hooks: Hooks{Began: func(model.Placement, Begun) {}, Ended: func(uint64, string, int) {}},
 			Send: func(to, service string, body any) error {
 				if m, ok := body.(model.ServerTable); ok && to == "next" && service == msgs.ServicePlacer {
 					h.sent = append(h.sent, m)
--- a/placer/waiting_test.go
+++ b/placer/waiting_test.go
@@ -28,7 +28,7 @@
 		Self: "p1", DataCentre: "dc", Incarnation: 1, began: w.now.Add(-waitAge),
 		servers: map[string]model.Server{}, hosts: map[string]*host{},
 		Hooks: Hooks{
-			Began: func(model.Placement, int) {}, Ended: func(uint64, string, int) {}, Event: func(uint64, runs.Event) {},
+			Began: func(model.Placement, Begun) {}, Ended: func(uint64, string, int) {}, Event: func(uint64, runs.Event) {},
 			End: func(runs.End) {}, Hand: func(msgs.JobHand) {}, State: func(View) {},
 		},
 		Send: func(_, _ string, body any) error {
