--- a/runs/doc.go
+++ b/runs/doc.go
@@ -28,5 +28,8 @@
 // A new placer looks at every server. Runs that it finds belong to their job as
 // soon as that is handed over; those that nobody claims are stopped. Other tasks
 // of jobs that an earlier placer may have started wait until all servers have
-// answered, or the last lease of the earlier placer is over.
+// answered, or the last lease of the earlier placer is over. The first suffices
+// only for servers that the placer knows: those of a table that is known to have
+// been all of the placer before TableTime ago at most, as that one uses a server
+// that others don't know of only after SpreadTime.
 package runs
