--- a/runs/world_test.go
+++ b/runs/world_test.go
@@ -290,10 +290,10 @@
 	told := time.Duration(w.rng.IntN(100)) * time.Millisecond
 	switch {
 	case stopped && w.chance(0.7):
-		w.after(told, func() { sp.do(func() { sp.p.Inherit(sp.unknown(table), w.now) }) })
+		w.after(told, func() { sp.do(func() { sp.p.Inherit(sp.unknown(table), w.now) }); sp.confirm() })
 	case w.chance(0.7):
 		part := table[:w.rng.IntN(len(table)+1)]
-		w.after(told, func() { sp.do(func() { sp.p.TakeOver(sp.unknown(part), w.now) }) })
+		w.after(told, func() { sp.do(func() { sp.p.Learn(sp.unknown(part), w.now) }); sp.confirm() })
 	}
 	sp.tick()
 	w.after(time.Duration(w.rng.IntN(1500))*time.Millisecond, sp.beat)
@@ -336,11 +336,24 @@
 			sp.do(func() { sp.p.Report(report, sp.w.now) })
 		}
 	}
+	sp.confirm()
 	if !sp.dead {
 		sp.w.after(1500*time.Millisecond, sp.beat)
 	}
 }
 
+// confirm has the other hosts confirm a little later that they know of all servers:
+// the next placer has them in its table.
+func (sp *simPlacer) confirm() {
+	sp.w.after(5*time.Millisecond, func() {
+		sp.do(func() {
+			for name := range sp.p.servers {
+				sp.p.Spread(name)
+			}
+		})
+	})
+}
+
 // do hands something to the placer, later if it is frozen.
 func (sp *simPlacer) do(f func()) {
 	switch {
