Take servers that ended without a word out of the table

What callers saw: after a backend server had crashed, jobs that were open during a later takeover waited for the leases of the placer before to end, 1.2 s, though the next placer had its whole table.

Cause: a server that isn't heard of for 10 s, or at whose address another process answers, was dropped by the placer but stayed in the table that other hosts keep, for good. The next placer waited for its answer.

Change: once a second the placer takes what it has dropped out of the table, as if it had said that it left. Nothing runs there: its leases end in a second.

--- a/placer/node.go
+++ b/placer/node.go
@@ -244,6 +244,7 @@
 	n.carryOut(now)
 	if n.placer != nil && !now.Before(n.stateAt) {
 		n.stateAt = now.Add(stateTime)
+		n.forget(now)
 		n.Hooks.State(n.view(now))
 	}
 }
--- a/placer/spread_test.go
+++ b/placer/spread_test.go
@@ -50,6 +50,7 @@
 		for _, name := range hosts {
 			w.confirm(name, w.version)
 		}
+		w.answerLooks()
 		w.tick(w.now)
 		w.answerLooks()
 	}
--- a/placer/table.go
+++ b/placer/table.go
@@ -207,6 +207,16 @@
 	return list
 }
 
+// forget takes servers out of the table that have ended without a word: the next
+// placer would wait for their answers.
+func (n *Node) forget(now time.Time) {
+	for name := range n.servers {
+		if !n.placer.Has(name) {
+			n.note(model.Server{Name: name, Left: true}, now)
+		}
+	}
+}
+
 // note enters what has changed of a server into the table.
 func (n *Node) note(s model.Server, now time.Time) {
 	n.version++
--- a/runs/server.go
+++ b/runs/server.go
@@ -151,6 +151,12 @@
 	}
 }
 
+// Has tells whether a server hasn't been given up: nothing may run on one that has.
+func (p *Placer) Has(name string) bool {
+	_, ok := p.servers[name]
+	return ok
+}
+
 // add puts a server into the table.
 func (p *Placer) add(s *server) {
 	p.servers[s.Name] = s
