--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -108,6 +108,7 @@
 	came      time.Time
 	expires   time.Time
 	placement model.Placement
+	passed    time.Time       // when it was passed from one placer to the next last, zero for never
 	parked    bool            // it waits for the next placer: nobody has had it
 	parkedAt  time.Time       // since when
 	tried     map[string]bool // data centres that refused it, for their load
@@ -215,6 +216,7 @@
 
 // hand gives a job to a placer.
 func (n *Node) hand(j *openJob, p model.Placement, again bool, now time.Time) {
+	j.pass(again, now)
 	j.placement, j.parked = p, false
 	n.handed++
 	j.hand.Hand = n.handed
@@ -226,6 +228,19 @@
 	}
 }
 
+// pass notes which placers may have started a job that is about to be handed over.
+func (j *openJob) pass(again bool, now time.Time) {
+	passed := j.passed
+	j.hand.Former, j.hand.Held, j.passed = 0, 0, time.Time{}
+	if !again {
+		return
+	}
+	j.hand.Former, j.passed = j.placement.Epoch, now
+	if !passed.IsZero() {
+		j.hand.Held = max(now.Sub(passed), time.Nanosecond)
+	}
+}
+
 // ended takes the placer's word on the latest hand-over of a job. One on an
 // earlier hand-over comes late: only that the job is complete still holds.
 func (n *Node) ended(m msgs.JobEnded, now time.Time) {
--- a/events/hosted.go
+++ b/events/hosted.go
@@ -110,8 +110,8 @@
 		Action:  "None, unless it repeats: then the host is short of processor time.",
 	}
 	PlacingBegan = Event{
-		Code: 630, Name: "PlacingBegan", Level: zerolog.InfoLevel, Fields: []string{"DataCentre", "Epoch", "Servers"},
-		Meaning: "This host places the runs of its data centre from now on.",
+		Code: 630, Name: "PlacingBegan", Level: zerolog.InfoLevel, Fields: []string{"DataCentre", "Epoch", "Former", "Servers", "TableEpoch", "TableMs"},
+		Meaning: "This host places the runs of its data centre from now on. It begins with the servers of a table that the placer of TableEpoch told; that one may have used others for TableMs, -1 when nothing is known of that.",
 		Action:  "None.",
 	}
 	PlacingEnded = Event{
@@ -120,8 +120,8 @@
 		Action:  "None.",
 	}
 	JobHanded = Event{
-		Code: 632, Name: "JobHanded", Level: zerolog.DebugLevel, Fields: []string{"Job", "From", "Again", "AgeMs"},
-		Meaning: "The placer took a job from an entry host.",
+		Code: 632, Name: "JobHanded", Level: zerolog.DebugLevel, Fields: []string{"Job", "From", "Again", "Former", "HeldMs", "AgeMs"},
+		Meaning: "The placer took a job from an entry host. Former is the epoch of the placer that had it before, HeldMs how long that one had it after another one.",
 		Action:  "None.",
 	}
 	JobPlaced = Event{
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -15,10 +15,13 @@
 	// after four of them.
 	RenewInterval = 200 * time.Millisecond
 
-	placerSilence  = 4 * RenewInterval       // after which a placer is superseded: one lost message and a late one are borne
+	// PlacerSilence is the time after which a placer is superseded: one lost
+	// message and a late one are borne.
+	PlacerSilence = 4 * RenewInterval
+
 	suspectSilence = 3 * RenewInterval / 2   // the same for one that another host of its data centre can't reach
 	settleTime     = 11 * RenewInterval / 10 // in which a new leader only listens, so that every host has renewed
-	forgetAfter    = 20 * placerSilence      // after which a silent host is no longer listed
+	forgetAfter    = 20 * PlacerSilence      // after which a silent host is no longer listed
 	suspectFor     = 2 * RenewInterval       // how long a suspicion counts
 	placeRetry     = 500 * time.Millisecond  // after which a placement that wasn't committed is proposed again
 )
@@ -58,7 +61,7 @@
 		return
 	}
 	h.renew, h.seen = m, now
-	if now.Sub(w.heard[m.DataCentre]) > placerSilence {
+	if now.Sub(w.heard[m.DataCentre]) > PlacerSilence {
 		w.back[m.DataCentre] = now
 	}
 	w.heard[m.DataCentre] = now
@@ -146,12 +149,13 @@
 	if now.Sub(w.suspects[p.Host]) < suspectFor && silent > suspectSilence {
 		return false
 	}
-	return silent <= placerSilence
+	return silent <= PlacerSilence
 }
 
 // best returns the host of a data centre that places best, of those that renewed
 // within the last interval or so: one that has the table of backend servers of the
-// epoch before goes first, as it can take over at once, then the most processor time.
+// epoch before goes first, as it can take over at once, the newest version before the
+// others, then the most processor time.
 func (w *Watch) best(dc string, before uint64, now time.Time) *watched {
 	var best *watched
 	for _, name := range slices.Sorted(maps.Keys(w.hosts)) {
@@ -166,9 +170,17 @@
 	return best
 }
 
+// tableOf ranks the versions of the table of an epoch, 0 for a host without it.
+func (h *watched) tableOf(epoch uint64) uint64 {
+	if h.renew.Epoch != epoch {
+		return 0
+	}
+	return h.renew.Servers + 1
+}
+
 func (h *watched) placesBetter(than *watched, before uint64) bool {
-	if has := h.renew.Epoch == before; has != (than.renew.Epoch == before) {
-		return has
+	if has := h.tableOf(before); has != than.tableOf(before) {
+		return has > than.tableOf(before)
 	}
 	return h.renew.Capacity > than.renew.Capacity
 }
--- a/hosted/hooks.go
+++ b/hosted/hooks.go
@@ -107,9 +107,10 @@
 
 func (h *Host) placerHooks() placer.Hooks {
 	return placer.Hooks{
-		Began: func(p model.Placement, servers int) {
+		Began: func(p model.Placement, t placer.Begun) {
 			h.Counts.Epoch.Set(float64(p.Epoch))
-			h.Log.At(events.PlacingBegan).Str("DataCentre", p.DataCentre).Uint64("Epoch", p.Epoch).Int("Servers", servers).Send()
+			h.Log.At(events.PlacingBegan).Str("DataCentre", p.DataCentre).Uint64("Epoch", p.Epoch).Uint64("Former", p.Former).
+				Int("Servers", t.Servers).Uint64("TableEpoch", t.Epoch).Int64("TableMs", t.Age.Milliseconds()).Send()
 		},
 		Ended: func(epoch uint64, reason string, jobs int) {
 			h.Counts.Epoch.Set(0)
@@ -118,7 +119,8 @@
 		},
 		State: h.placerState,
 		Hand: func(m msgs.JobHand) {
-			h.Log.At(events.JobHanded).Str("Job", m.Job).Str("From", m.Host).Bool("Again", m.Again).Int64("AgeMs", m.Age.Milliseconds()).Send()
+			h.Log.At(events.JobHanded).Str("Job", m.Job).Str("From", m.Host).Bool("Again", m.Again).Uint64("Former", m.Former).
+				Int64("HeldMs", m.Held.Milliseconds()).Int64("AgeMs", m.Age.Milliseconds()).Send()
 		},
 		Event: h.runEvent,
 		End: func(e runs.End) {
--- a/msgs/fleet.go
+++ b/msgs/fleet.go
@@ -53,8 +53,10 @@
 	Expires      time.Duration // since the job came, after which nobody waits for it
 	Label        string
 	PerServer    int
-	Strict       bool   // to be refused unless it can meet its objective
-	Hand         uint64 // number of this hand-over, rises on the entry host
+	Strict       bool          // to be refused unless it can meet its objective
+	Hand         uint64        // number of this hand-over, rises on the entry host
+	Former       uint64        // epoch of the placer that had it before, 0 for none
+	Held         time.Duration // since that one got it from another one, 0 if it had it first
 }
 
 // JobWithdraw tells the placer that nobody waits for the job any more, as far as
@@ -89,6 +91,7 @@
 	Placing     uint64        // epoch of the placer that told Stamp, 0 for none
 	Stamp       time.Duration // latest that it told
 	Withdrawn   []JobWithdraw // jobs withdrawn from this placer lately
+	Number      uint64        // of this pulse, rises with each one of a process
 	Oldest      uint64        // number of the earliest hand-over to this placer that the host waits for; all before are withdrawn
 }
 
@@ -103,6 +106,7 @@
 	Table       []model.Server // that changed after Since
 	Stamp       time.Duration  // of the placer's steady clock, since its process began
 	Ask         bool           // the placer needs a pulse now
+	Answers     uint64         // number of the last pulse that the placer had, 0 for none
 }
 
 // ServerSeen passes a backend server's report on to its placer.
--- a/placer/former_test.go
+++ b/placer/former_test.go
@@ -53,9 +53,12 @@
 	w := newWaiting()
 	before := w.placer.Epoch()
 	w.beat(server("s1"), w.now)
+	w.pulse(msgs.Pulse{Host: "next", DataCentre: "dc", Incarnation: 1}, w.now)
+	told := w.told[len(w.told)-1]
 	next := newWaiting()
 	next.placer, next.latest, next.tableEpoch = nil, model.Placement{}, 0
-	next.adoptTable(Table{Epoch: before, Whole: true, Servers: w.table().Servers})
+	next.adoptTable(Table{Epoch: told.Epoch, Whole: told.Since == 0, Servers: told.Table})
+	next.tableAt = w.now
 	w.beat(server("s2"), w.now) // not told to the next placer: the link to it is cut
 	look := func(n *waiting, active map[string][]runs.Listed) []runs.Start {
 		out := n.placer.Drain(n.now)
@@ -66,29 +69,34 @@
 		}
 		return append(out.Starts, n.placer.Drain(n.now).Starts...)
 	}
-	hand := func(n *waiting, again bool, epoch uint64) {
+	hand := func(n *waiting, again bool, former, epoch uint64) {
 		n.hand(msgs.JobHand{
-			Job: "j", Host: "far", Incarnation: 1, Epoch: epoch, Service: "svc", Tasks: 1, CPU: 60, Again: again, Hand: 1,
+			Job: "j", Host: "far", Incarnation: 1, Epoch: epoch, Service: "svc", Tasks: 1, CPU: 60, Again: again, Hand: 1, Former: former,
 			Expected: time.Millisecond, Objective: time.Minute, Expires: time.Minute, Attempts: 1,
 		}, n.now)
 		n.pulse(msgs.Pulse{Host: "far", Incarnation: 1, Placing: epoch, Stamp: n.now.Sub(n.began)}, n.now)
 	}
 	look(w, nil)
-	for range 4 {
+	for used := w.now.Add(runs.SpreadTime); w.now.Before(used); {
 		w.now = w.now.Add(150 * time.Millisecond)
 		w.pulse(msgs.Pulse{Host: "far", DataCentre: "other", Incarnation: 1, Placing: before, Stamp: w.now.Sub(w.began)}, w.now)
 		w.placer.Tick(w.now)
 		look(w, nil)
 	}
-	w.beat(model.Server{Name: "s1", DataCentre: "dc", Service: "svc", CPU: 100, Born: 1, Seq: 2, Draining: true}, w.now)
-	hand(w, false, before)
+	for _, name := range []string{"s1", "s2"} {
+		r := server(name)
+		r.Seq = 2
+		w.beat(r, w.now)
+	}
+	w.beat(model.Server{Name: "s1", DataCentre: "dc", Service: "svc", CPU: 100, Born: 1, Seq: 3, Draining: true}, w.now)
+	hand(w, false, 0, before)
 	starts := look(w, nil)
 	if len(starts) != 1 || starts[0].Server.Name != "s2" {
 		t.Fatalf("starts %+v, want one on s2", starts)
 	}
 	next.now = w.now
 	next.placed(model.Placement{DataCentre: "dc", Host: "p1", Incarnation: 1, Epoch: before + 1, Former: before}, next.now)
-	hand(next, true, before+1)
+	hand(next, true, before, before+1)
 	for _, o := range look(next, nil) {
 		t.Fatalf("%s is started on %s while the run of the placer before may be on s2", o.Task, o.Server.Name)
 	}
--- a/placer/node.go
+++ b/placer/node.go
@@ -37,7 +37,7 @@
 
 // Hooks are the seams for events and counters.
 type Hooks struct {
-	Began func(p model.Placement, servers int)
+	Began func(p model.Placement, t Begun)
 	Ended func(epoch uint64, reason string, jobs int)
 	Event func(epoch uint64, e runs.Event)
 	End   func(e runs.End)
@@ -62,8 +62,12 @@
 	version    uint64            // of servers
 	changed    map[string]change // of servers, by name
 	tableEpoch uint64            // of the placer that told servers
+	tableAt    time.Time         // when that placer is known to have had no others, zero for never
+	tableEnded bool              // that placer has stopped, and has had no others
 	placedFor  uint64            // latest epoch under which this process placed
 	hosts      map[string]*host
+	keepers    map[string]*keeper  // of the table, by host
+	confirmed  uint64              // version of the table up to which its servers may be used
 	processes  map[string]*process // by host, also of one that is silent, and over epochs
 	fencedAt   time.Time           // zero unless the next placer isn't known yet
 	early      []early
@@ -81,8 +85,6 @@
 	waited time.Time // latest time at which it is known to have waited, zero for none
 	asked  time.Time // when a pulse was asked of it last
 	near   bool      // of this data centre, so that it keeps the table
-	has    uint64    // version of the table that the host has, 0 for none of this epoch
-	told   uint64    // and that it was sent
 }
 
 // silent tells whether the host isn't known to have waited lately.
@@ -103,7 +105,9 @@
 
 // Placed tells the node who places for its data centre.
 type Placed struct {
-	Placement model.Placement
+	Placement  model.Placement
+	TableEpoch uint64    // of the latest placer whose table this host was told
+	TableAt    time.Time // when that placer is known to have had no other servers, zero for never
 }
 
 // Table is the table of backend servers that the placer of an epoch told an
@@ -114,6 +118,16 @@
 	Servers []model.Server
 }
 
+// Begun is the table that a placer begins with.
+type Begun struct {
+	Epoch   uint64 // of the placer that told it, 0 for none
+	Servers int
+	Age     time.Duration // see tableAge
+}
+
+// unknownAge is the age of a table whose placer may have had others all the time.
+const unknownAge = -time.Millisecond
+
 // Beat is a report that a backend server sent to this host.
 type Beat struct {
 	Server model.Server
@@ -141,6 +155,7 @@
 			}
 			n.servers = map[string]model.Server{}
 			n.hosts = map[string]*host{}
+			n.keepers = map[string]*keeper{}
 			n.processes = map[string]*process{}
 			connect(t)
 			return nil
@@ -154,6 +169,9 @@
 func (n *Node) handle(msg any, now time.Time) {
 	switch m := msg.(type) {
 	case Placed:
+		if m.TableEpoch == n.tableEpoch {
+			n.tableAt = m.TableAt
+		}
 		n.placed(m.Placement, now)
 	case Table:
 		n.adoptTable(m)
@@ -221,10 +239,12 @@
 		}
 	}
 	n.spread(now)
+	n.known(now)
 	n.placer.Tick(now)
 	n.carryOut(now)
 	if n.placer != nil && !now.Before(n.stateAt) {
 		n.stateAt = now.Add(stateTime)
+		n.forget(now)
 		n.Hooks.State(n.view(now))
 	}
 }
@@ -241,14 +261,20 @@
 	if p.Host != n.Self || p.Incarnation != n.Incarnation {
 		return // an earlier process of this host may have placed under this epoch
 	}
-	n.placer = runs.New(p.Epoch, p.Former == n.tableEpoch, now)
-	n.tableEpoch, n.placedFor = p.Epoch, p.Epoch
+	table := Begun{Epoch: n.tableEpoch, Servers: len(n.servers), Age: n.tableAge(now)}
+	n.placer = runs.New(p.Epoch, p.Former == table.Epoch && table.Age >= 0, now)
+	n.placer.Follow(p.Former)
+	if table.Age > 0 {
+		n.placer.AsOf(n.tableAt)
+	}
 	n.placer.TakeOver(slices.Collect(maps.Values(n.servers)), now)
+	n.tableEpoch, n.tableAt, n.tableEnded, n.placedFor = p.Epoch, time.Time{}, false, p.Epoch
 	n.version, n.changed, n.hosts = 1, map[string]change{}, map[string]*host{}
+	n.keepers, n.confirmed = map[string]*keeper{}, 0
 	for name, s := range n.servers {
 		n.changed[name] = change{version: 1, server: s, at: now}
 	}
-	n.Hooks.Began(p, len(n.servers))
+	n.Hooks.Began(p, table)
 	waiting := n.early
 	n.early = nil
 	for _, e := range waiting {
@@ -266,7 +292,7 @@
 		return
 	}
 	n.Hooks.Ended(n.placer.Epoch(), reason, n.placer.Jobs())
-	n.placer = nil
+	n.placer, n.tableEnded = nil, true
 }
 
 func (n *Node) hand(m msgs.JobHand, now time.Time) {
@@ -299,6 +325,8 @@
 		Objective: m.Objective,
 		Expires:   m.Expires,
 		Strict:    m.Strict,
+		Former:    m.Former,
+		Held:      m.Held,
 		Again:     m.Again || m.Epoch != n.placer.Epoch(), // an earlier process may have taken it
 	}, now)
 	if h := n.hosts[m.Host]; h.toAsk(now) {
@@ -334,11 +362,25 @@
 	return Noted{Taken: true}
 }
 
+// tableAge returns for how long the placer that told the table may have used other
+// servers, 0 when it has stopped or there was none, or unknownAge.
+func (n *Node) tableAge(now time.Time) time.Duration {
+	switch {
+	case n.tableEpoch == 0 || n.tableEnded:
+		return 0
+	case n.tableAt.IsZero():
+		return unknownAge
+	}
+	return max(now.Sub(n.tableAt), time.Nanosecond)
+}
+
 func (n *Node) adoptTable(m Table) {
-	if n.placer != nil {
+	if n.placer != nil || m.Epoch < n.tableEpoch || (m.Epoch == n.tableEpoch && n.tableEnded) {
 		return
 	}
-	n.tableEpoch = m.Epoch
+	if m.Epoch > n.tableEpoch {
+		n.tableEpoch, n.tableAt, n.tableEnded = m.Epoch, time.Time{}, false
+	}
 	if m.Whole {
 		clear(n.servers)
 	}
--- a/placer/process.go
+++ b/placer/process.go
@@ -43,6 +43,9 @@
 // succeed drops what the former process of an entry host has handed over.
 func (n *Node) succeed(name string, p *process, now time.Time) {
 	p.since = now
+	if k, ok := n.keepers[name]; ok {
+		k.has, k.pulse = 0, 0
+	}
 	if h, ok := n.hosts[name]; ok {
 		h.since, h.waited = now, time.Time{}
 		n.placer.HostLost(name, p.Present, now)
--- a/placer/table.go
+++ b/placer/table.go
@@ -3,12 +3,12 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
 	"dogwoodrock.example/dogwoodrock/model"
 	"dogwoodrock.example/dogwoodrock/msgs"
+	"dogwoodrock.example/dogwoodrock/runs"
 )
 
 // change is the last change of a server in the table.
@@ -18,15 +18,25 @@
 	at      time.Time
 }
 
+// keeper is another host of the data centre that was told the table under this
+// epoch. It may place next even when it isn't heard of any more.
+type keeper struct {
+	has   uint64    // version that it has confirmed, 0 for none
+	told  uint64    // version that it was sent
+	at    time.Time // when it was sent one last
+	pulse uint64    // number of its latest pulse
+}
+
 // leftMemory is how long a server that left stays in the table, for hosts that
 // missed it: some pulses.
 const leftMemory = 10 * time.Second
 
-// prune forgets servers that left, jobs that came too early and the processes of
-// hosts that are gone.
+// prune forgets servers that left, jobs that came too early, hosts whose table is
+// too old to begin with, and the processes of hosts that are gone.
 func (n *Node) prune(now time.Time) {
 	maps.DeleteFunc(n.changed, func(_ string, c change) bool { return c.server.Left && now.Sub(c.at) > leftMemory })
 	n.early = slices.DeleteFunc(n.early, func(e early) bool { return now.Sub(e.came) > earlyTime })
+	maps.DeleteFunc(n.keepers, func(_ string, k *keeper) bool { return now.Sub(k.at) > runs.SpreadTime })
 	maps.DeleteFunc(n.processes, func(_ string, p *process) bool { return now.Sub(p.heard) > processMemory })
 }
 
@@ -43,11 +53,13 @@
 	}
 	h := n.hosts[m.Host]
 	h.near = m.DataCentre == n.DataCentre
-	h.has = 0
-	if m.Epoch == n.placer.Epoch() {
-		h.has = m.Servers
+	if h.near {
+		k := n.keeper(m.Host)
+		k.has, k.pulse = 0, m.Number
+		if m.Epoch == n.placer.Epoch() {
+			k.has = m.Servers
+		}
 	}
-	n.known()
 	n.placer.WaitsFrom(m.Host, m.Oldest, now)
 	for _, w := range m.Withdrawn {
 		w.Host = m.Host
@@ -55,6 +67,17 @@
 	}
 	n.waits(m, h, now)
 	n.tell(m.Host, h, now)
+	n.known(now)
+}
+
+// keeper returns what is known of the table of a host.
+func (n *Node) keeper(name string) *keeper {
+	k, ok := n.keepers[name]
+	if !ok {
+		k = &keeper{}
+		n.keepers[name] = k
+	}
+	return k
 }
 
 // waits notes when an entry host waited: not before the stamp that it returns,
@@ -70,18 +93,19 @@
 	n.placer.Waits(m.Host, at)
 }
 
-// known lets the servers be used that all other hosts of the data centre have in
-// their tables: the next placer would know of them.
-func (n *Node) known() {
-	least := uint64(math.MaxUint64)
-	for name, h := range n.hosts {
-		if name != n.Self && h.near {
-			least = min(least, h.has)
+// known lets the servers be used that every host has in its table that may take it
+// for whole, if it places next.
+func (n *Node) known(now time.Time) {
+	least := n.version
+	for name, k := range n.keepers {
+		if name != n.Self && now.Sub(k.at) < runs.SpreadTime {
+			least = min(least, k.has)
 		}
 	}
-	if least == math.MaxUint64 {
+	if least <= n.confirmed {
 		return
 	}
+	n.confirmed = least
 	for name, c := range n.changed {
 		if c.version <= least {
 			n.placer.Spread(name)
@@ -93,7 +117,7 @@
 // without waiting for their pulses.
 func (n *Node) spread(now time.Time) {
 	for name, h := range n.hosts {
-		if h.told != n.version && name != n.Self && h.near {
+		if h.near && name != n.Self && n.keeper(name).told != n.version {
 			n.tell(name, h, now)
 		}
 	}
@@ -109,10 +133,11 @@
 		h.asked = now
 	}
 	if h.near {
-		h.told = n.version
-		reply.Servers, reply.Since = n.version, h.has
+		k := n.keeper(name)
+		k.told, k.at = n.version, now
+		reply.Servers, reply.Since, reply.Answers = n.version, k.has, k.pulse
 		for _, c := range n.changed {
-			if c.version > h.has {
+			if c.version > k.has {
 				reply.Table = append(reply.Table, c.server)
 			}
 		}
@@ -156,8 +181,9 @@
 // inherit takes the table of the placer before, which has stopped.
 func (n *Node) inherit(t model.ServerTable, now time.Time) {
 	switch {
-	case n.placer == nil && t.Epoch > n.tableEpoch:
+	case n.placer == nil && t.Epoch >= n.tableEpoch:
 		n.adoptTable(Table{Epoch: t.Epoch, Whole: true, Servers: t.Servers})
+		n.tableEnded = true
 	case n.placer != nil && t.Epoch == n.latest.Former:
 		n.placer.Inherit(n.missed(t.Servers, now), now)
 	}
@@ -167,15 +193,16 @@
 // runs on others isn't known.
 func (n *Node) learn(t model.ServerTable, now time.Time) {
 	if n.placer != nil && t.Epoch < n.placer.Epoch() {
-		n.placer.TakeOver(n.missed(t.Servers, now), now)
+		n.placer.Learn(n.missed(t.Servers, now), now)
 	}
 }
 
-// missed notes and returns those of the servers that aren't known yet.
+// missed notes and returns those of the servers that aren't known yet. One that has
+// left since reports itself when it comes back.
 func (n *Node) missed(servers []model.Server, now time.Time) []model.Server {
 	var list []model.Server
 	for _, s := range servers {
-		if _, ok := n.servers[s.Name]; !ok {
+		if _, ok := n.servers[s.Name]; !ok && !n.changed[s.Name].server.Left {
 			list = append(list, s)
 			n.note(s, now)
 		}
@@ -183,6 +210,16 @@
 	return list
 }
 
+// forget takes servers out of the table that have ended without a word: the next
+// placer would wait for their answers.
+func (n *Node) forget(now time.Time) {
+	for name := range n.servers {
+		if !n.placer.Has(name) {
+			n.note(model.Server{Name: name, Left: true}, now)
+		}
+	}
+}
+
 // note enters what has changed of a server into the table.
 func (n *Node) note(s model.Server, now time.Time) {
 	n.version++
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -29,6 +29,8 @@
 	last     time.Time // last input
 	resumeAt time.Time // latest, after the placer stood still
 	whole    bool      // the servers used by the placer before are known
+	asOf     time.Time // up to when, zero for all
+	former   uint64    // epoch of the placer before
 
 	servers     map[string]*server
 	order       []*server // the same, by name
@@ -59,6 +61,8 @@
 	began   bool      // a task was started
 	start   time.Time // latest of a task
 	clear   time.Time // when no earlier placer can have prolonged its runs, while it waits for that
+	others  time.Time // when the leases are over that placers before the last one gave its runs
+	covered bool      // the table had all servers that they may be on when the job came
 }
 
 type task struct {
@@ -153,7 +157,8 @@
 	if !p.claim(k, now) {
 		return
 	}
-	if j.Again && !p.allKnown() {
+	k.covered, k.others = p.covers(now), now.Add(p.others(j))
+	if j.Again && (!p.allKnown() || !p.sure(k, now)) {
 		k.clear = now.Add(settleTime)
 		p.again = append(p.again, k)
 		return
@@ -250,7 +255,7 @@
 	again := p.again
 	p.again = nil
 	for _, j := range again {
-		if !known && now.Before(j.clear) {
+		if now.Before(j.clear) && (!known || !p.sure(j, now)) {
 			p.again = append(p.again, j)
 			continue
 		}
@@ -258,6 +263,24 @@
 	}
 }
 
+// sure tells whether the table has all servers on which earlier placers may have
+// left tasks of a job.
+func (p *Placer) sure(j *job, now time.Time) bool {
+	return !now.Before(j.others) && (j.covered || (p.whole && p.asOf.IsZero()))
+}
+
+// others returns how long the leases may last that others than the placer before
+// gave runs of a job: servers that only they have used aren't in the table.
+func (p *Placer) others(j Job) time.Duration {
+	switch {
+	case j.Former != p.former:
+		return settleTime
+	case j.Held > 0:
+		return max(0, settleTime-j.Held)
+	}
+	return 0
+}
+
 func (p *Placer) allKnown() bool {
 	for _, s := range p.order {
 		if !s.known {
--- a/runs/server.go
+++ b/runs/server.go
@@ -20,16 +20,29 @@
 	silentAfter  = 350 * time.Millisecond  // without an answer, while looks fail, a server is silent: some looks in a row were lost
 	stopRetry    = 80 * time.Millisecond   // between stops that got no answer: longer than one may take
 	seenWithin   = 2500 * time.Millisecond // a server that nobody heard of for longer gets no task: one report may be lost
-	spreadTime   = 500 * time.Millisecond  // after which a new server is used though no other host has confirmed that it knows of it
 	roomPause    = 40 * time.Millisecond   // for a server that had no room
 	unwellPause  = 500 * time.Millisecond  // for a server that says it is unhealthy
 	silencePause = 60 * time.Millisecond   // for a server that left an order unanswered, until a look tells more
 )
 
+const (
+	// SpreadTime is how long a new server isn't used unless every host that may
+	// place next has confirmed that it knows of it. A placer that is lost is
+	// superseded in less, with its core's leader too.
+	SpreadTime = 2500 * time.Millisecond
+
+	// TableTime is how long a table has all servers that its placer has used for
+	// jobs that are handed to the next one: SpreadTime, less the time in which a
+	// task may begin after its host has left that placer, on any two clocks.
+	TableTime = SpreadTime*hostRates/100 - freshTime*100/hostRates
+
+	hostRates = 96 // percent: the steady clock of one host may be 2% slow as servers' clocks, and that of another one as fast
+)
+
 // server is a backend server as the placer knows it.
 type server struct {
 	model.Server
-	found  time.Time       // first report
+	found  time.Time       // when this placer heard of it first, or of its address
 	spread bool            // the next placer would know of it
 	heard  time.Time       // last report or answer
 	known  bool            // looked at under this epoch
@@ -102,18 +115,43 @@
 	stateStopped  // until its end is listed
 )
 
-// TakeOver notes the servers of the placer before.
+// TakeOver notes the servers that the placer begins with. Whoever has its table
+// knows of them.
 func (p *Placer) TakeOver(servers []model.Server, now time.Time) {
 	for _, m := range servers {
 		p.add(&server{Server: m, heard: now, spread: true, runs: map[string]*run{}})
 	}
 }
 
-// Inherit is TakeOver after the placer began: now all servers are known that the
-// placer before has used.
+// Follow names the epoch of the placer before.
+func (p *Placer) Follow(former uint64) {
+	p.former = former
+}
+
+// AsOf tells when the placer before is known to have had no other servers than
+// those that TakeOver names. It may have used others since.
+func (p *Placer) AsOf(at time.Time) {
+	p.asOf = at
+}
+
+// covers tells whether the servers are known that the placer before may have used
+// for a job that is handed over now.
+func (p *Placer) covers(now time.Time) bool {
+	return p.whole && (p.asOf.IsZero() || elapsed(p.asOf, now) < TableTime)
+}
+
+// Learn notes servers of an earlier placer after this one began.
+func (p *Placer) Learn(servers []model.Server, now time.Time) {
+	for _, m := range servers {
+		p.add(&server{Server: m, found: now, heard: now, runs: map[string]*run{}})
+	}
+}
+
+// Inherit is Learn with the table of the placer before, which has stopped: now all
+// servers are known that it has used.
 func (p *Placer) Inherit(servers []model.Server, now time.Time) {
-	p.whole = true
-	p.TakeOver(servers, now)
+	p.whole, p.asOf = true, time.Time{}
+	p.Learn(servers, now)
 }
 
 // Spread tells that the next placer would know of a server.
@@ -123,6 +161,12 @@
 	}
 }
 
+// Has tells whether a server hasn't been given up: nothing may run on one that has.
+func (p *Placer) Has(name string) bool {
+	_, ok := p.servers[name]
+	return ok
+}
+
 // add puts a server into the table. One of that name may have been in it before.
 func (p *Placer) add(s *server) {
 	p.raise(s)
@@ -160,6 +204,9 @@
 	case m.Born != s.Born:
 		p.reborn(s, m.Born, now)
 	}
+	if m.Address != s.Address {
+		s.found, s.spread = now, false // the next placer would look elsewhere
+	}
 	s.Server = m
 	s.heard = now
 }
@@ -265,7 +312,7 @@
 // knows no fence, so a placer that has been superseded may be the first to look at
 // it. After freshTime none of that one's jobs that the next placer has begins.
 func (s *server) usable(now time.Time) bool {
-	return s.known && (s.spread || now.Sub(s.found) >= spreadTime) && !s.silent && !s.Draining && now.Sub(s.heard) < seenWithin &&
+	return s.known && (s.spread || now.Sub(s.found) >= SpreadTime) && !s.silent && !s.Draining && now.Sub(s.heard) < seenWithin &&
 		now.Sub(s.restarted) > freshTime &&
 		!now.Before(s.pausedUntil) && s.health.allows(len(s.runs), now)
 }
