Tell an entry host that counts as lost what became of its jobs

All processes had stood still for 0.75 s; the placer had heard nothing of that host for 0.95 s, withdrew its jobs and stopped their runs, and the host went on waiting for jobs that nobody had.

A placer that takes an entry host for lost now tells it that its jobs may have run. A host that lives answers their callers, who send them again; their leases have ended by then, as they count from its last word. With the number of the hand-over in each end, a late one harms no later hand-over. A process that is known to be gone is told nothing.

runs.TestLostHostIsTold failed before in two of four cases.

--- a/runs/ends_test.go
+++ b/runs/ends_test.go
@@ -58,3 +58,38 @@
 		})
 	}
 }
+
+// TestLostHostIsTold has a placer hear nothing of an entry host, which may be alive
+// and wait for the ends of its jobs.
+func TestLostHostIsTold(t *testing.T) {
+	tests := map[string]struct {
+		hosts       []string // that wait for the job
+		incarnation uint64   // that isn't lost, 0 for none
+		want        []string // hosts that are told
+	}{
+		"alone":                        {hosts: []string{"h1"}, want: []string{"h1"}},
+		"beside another host":          {hosts: []string{"h1", "h2"}, want: []string{"h1"}},
+		"its process before":           {hosts: []string{"h1"}, incarnation: 2},
+		"another host waits for a job": {hosts: []string{"h2"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			for _, h := range tt.hosts {
+				d.submit("j", h)
+			}
+			d.drain()
+			d.p.HostLost("h1", tt.incarnation, d.now)
+			var told []string
+			for _, e := range d.drain().Ends {
+				told = append(told, e.Host)
+				if e.Job != "j" || e.State != model.JobEndUnknown {
+					t.Errorf("end %+v, want that the job may have run", e)
+				}
+			}
+			if !slices.Equal(told, tt.want) {
+				t.Fatalf("told %v, want %v", told, tt.want)
+			}
+		})
+	}
+}
--- a/runs/wait.go
+++ b/runs/wait.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
 )
 
 const (
@@ -82,6 +84,9 @@
 // when the incarnation is not 0.
 func (p *Placer) HostLost(host string, incarnation uint64, now time.Time) {
 	for _, j := range inOrder(p.jobs) {
+		if incarnation == 0 {
+			p.tellLost(j, host, now)
+		}
 		p.leave(j, "entry host lost", now, func(w waiter) bool {
 			return w.host == host && (incarnation == 0 || w.incarnation != incarnation)
 		})
@@ -93,6 +98,19 @@
 	}
 }
 
+// tellLost tells an entry host that its job may have run. It counts as lost but may
+// be alive, and would wait until its caller's patience is over.
+func (p *Placer) tellLost(j *job, host string, now time.Time) {
+	for _, w := range j.waiters {
+		if w.host == host {
+			p.out.Ends = append(p.out.Ends, End{
+				Job: j.ID, Host: host, Incarnation: w.incarnation, Hand: w.hand, Route: j.Route,
+				State: model.JobEndUnknown, Reason: "nothing was heard of its entry host", Took: now.Sub(j.Came), Waited: j.waited(now),
+			})
+		}
+	}
+}
+
 // forgetHost drops an entry host unless a job has it for a waiter: what it says
 // next is about that job.
 func (p *Placer) forgetHost(name string, h *entryHost) {
