--- a/entry/node.go
+++ b/entry/node.go
@@ -85,7 +85,7 @@
 	leaving  bool
 	leaveBy  time.Time
 	pulseAt  time.Time
-	last     time.Time // input
+	last     time.Time // message or tick
 }
 
 // placerState is a placer as its pulses show it.
