--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,6 +21,8 @@
 	t.Parallel()
 	playSeeds(t, map[string]seedCase{
 		"faults": {seed: 1, duration: 6 * time.Second},
+		// A look that was late told that runs had ended which had just been found to run.
+		"faults, where two tasks ran twice": {seed: 1018, duration: 15 * time.Second},
 	})
 }
 
