End no late job of a takeover before its runs were looked for

It came to the next placer 1.84 s after its begin, later than a task of it may begin to be of use, and was ended as one of which nothing had begun, 0.07 ms after the hand-over and before the first looks could find its run.

Change: while the placer waits for what earlier ones left, it doesn't end a job for being late. One of which nothing runs is then placed if there is room, and ended otherwise.

runs.TestLateJobOfATakeover failed before in both cases.

--- a/runs/found_test.go
+++ b/runs/found_test.go
@@ -153,3 +153,37 @@
 		t.Fatalf("the job is in the queue %d times", got)
 	}
 }
+
+// TestLateJobOfATakeover has a job handed over again that is too late to begin,
+// while its run goes on and the new placer has yet to find it.
+func TestLateJobOfATakeover(t *testing.T) {
+	tests := map[string]struct {
+		active []Listed // on server a
+		starts int
+	}{
+		"its run is found":   {active: []Listed{{Task: "j.0.0.0", Run: 1}}},
+		"nothing runs of it": {starts: 1}, // there is room
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newTakeover(t)
+			d.p.Waits("h1", d.now)
+			d.p.Submit(Job{
+				ID: "j", Host: "h1", Incarnation: 1, Hand: 1, Service: "svc", Tasks: 1, Attempts: 3, Came: d.now.Add(-2 * time.Second), Again: true,
+				Objective: 700 * time.Millisecond, Expires: 6 * time.Second, Demand: model.Demand{CPU: 100, MemoryMB: 1, Expected: 400 * time.Millisecond},
+			}, d.now)
+			d.p.Tick(d.now)
+			if ends := d.drain().Ends; len(ends) > 0 {
+				t.Fatalf("the job ended %v before the servers were looked at", ends[0].State)
+			}
+			d.look("a", tt.active, nil)
+			d.look("b", nil, nil)
+			d.look("c", nil, nil)
+			starts := len(d.drain().Starts)
+			d.p.Tick(d.now)
+			if ends := d.drain().Ends; len(ends) > 0 || starts != tt.starts {
+				t.Fatalf("%d starts and ends %v after the looks, want %d and none", starts, ends, tt.starts)
+			}
+		})
+	}
+}
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -269,7 +269,7 @@
 		switch {
 		case now.Sub(j.Came) >= j.Expires && (j.began || p.left(j)):
 			p.end(j, model.JobEndUnknown, "the time of its caller is over", now)
-		case !j.began && now.Sub(j.Came) >= j.useful() && !p.left(j):
+		case !j.began && now.Sub(j.Came) >= j.useful() && !p.left(j) && j.clear.IsZero():
 			p.end(j, model.JobEndRefused, "no backend server had room in time", now)
 		}
 	}
