Begin the silence of entry hosts anew after a placer stood still

Cause: the machine stood still for 0.96 s (front-0-0 and front-1-1 logged nothing from 34.285 and 34.346 to 35.243). At its next tick each placer took its entry hosts for lost, the one in its own process too, for the time in which it couldn't hear them. It dropped their jobs and stopped the runs. An entry host isn't told that it counted as lost, so it waited.

Change: after more than 0.3 s between two ticks the silence of all hosts counts anew. Leases don't depend on it: those of a host that is lost end 1.05 s after its last word, and no task begins later than 0.3 s after it.

Not changed: an entry host that alone is frozen or cut off from its placer for more than 0.9 s still waits for jobs that the placer has dropped.

placer.TestSilenceOfAPlacerThatStood failed before.

--- a/placer/node.go
+++ b/placer/node.go
@@ -16,6 +16,7 @@
 	tick        = 20 * time.Millisecond  // between looks at the clock while something waits: an order is repeated after no less
 	calmTick    = 60 * time.Millisecond  // while all goes well: less than a stop or a refused start is left alone
 	restTick    = 200 * time.Millisecond // while another host places: a fifth of earlyTime
+	standTime   = 300 * time.Millisecond // between two ticks, after which this host stood still itself: five calm ones
 	hostSilence = 900 * time.Millisecond // without word that an entry host waits, until its jobs are withdrawn: a resend may come 1.3 s after the break
 	askAfter    = 200 * time.Millisecond // without such word, until the host is asked: its tasks begin soon after a word only
 	askSpacing  = 50 * time.Millisecond  // between two questions to a host
@@ -67,6 +68,7 @@
 	fencedAt   time.Time // zero unless the next placer isn't known yet
 	early      []early
 	flushing   bool // a flush is on its way
+	ticked     time.Time
 	stateAt    time.Time
 	pace       pace // of answers to orders
 }
@@ -208,9 +210,14 @@
 
 func (n *Node) tick(now time.Time) {
 	n.prune(now)
+	stood := now.Sub(n.ticked) > standTime
+	n.ticked = now
 	if n.placer == nil {
 		return
 	}
+	if stood {
+		n.listenAgain(now)
+	}
 	for name, h := range n.hosts {
 		switch {
 		case h.silent(now):
@@ -229,6 +236,15 @@
 	}
 }
 
+// listenAgain begins the silence of the entry hosts anew after this host stood
+// still: it may not have heard them. A host that counts as lost isn't told so, and
+// waits for jobs that were dropped. The leases of their runs end by themselves.
+func (n *Node) listenAgain(now time.Time) {
+	for _, h := range n.hosts {
+		h.since = now
+	}
+}
+
 // placed begins to place under a new epoch, or stops.
 func (n *Node) placed(p model.Placement, now time.Time) {
 	if p.Epoch <= n.latest.Epoch {
--- a/placer/waiting_test.go
+++ b/placer/waiting_test.go
@@ -119,6 +119,36 @@
 	}
 }
 
+// TestSilenceOfAPlacerThatStood has a placer stand still while an entry host waits,
+// whose pulses it hears only after its next tick, if at all.
+func TestSilenceOfAPlacerThatStood(t *testing.T) {
+	tests := map[string]struct {
+		tick time.Duration // between ticks
+		lost bool
+	}{
+		"it stood still": {tick: hostSilence + tick},
+		"it went on":     {tick: tick, lost: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWaiting()
+			w.tick(w.now)
+			w.hear(waitEpoch, 0)
+			w.take(1)
+			for begin := w.now; w.now.Sub(begin) <= hostSilence; {
+				w.now = w.now.Add(tt.tick)
+				w.tick(w.now)
+			}
+			if lost := len(w.hosts) == 0; lost != tt.lost {
+				t.Fatalf("the entry host counts as lost: %v, want %v", lost, tt.lost)
+			}
+			if jobs := w.placer.Jobs(); (jobs == 0) != tt.lost {
+				t.Fatalf("%d jobs are left", jobs)
+			}
+		})
+	}
+}
+
 func TestAsk(t *testing.T) {
 	heard := func(ago time.Duration) func(w *waiting) { return func(w *waiting) { w.hear(waitEpoch, ago) } }
 	tests := map[string]struct {
