Don't take a run for gone by a look that was sent before it was listed

The log of the placer: the start got no answer in 61 ms; 35 ms later the run was given up as not listed, without a stop, and listed again by a look 0.7 ms after that. No other host placed at the time.

Cause: two looks were on their way to the server. The one that lists the run came first, so the run was taken to run. The other one, sent after the start had got no answer but carried out before it was, then counted as proof that the run is gone. That the looks of that play overtook each other so is inferred from these lines; the test plays it.

Change: a run that is listed is given up only by looks that were sent after the list has come.

Ruled out: a takeover or an older table, as only one placer was there; a stop that was answered, as the log has none.

runs.TestOvertakenLook failed before in its first case.

--- a/runs/look.go
+++ b/runs/look.go
@@ -81,6 +81,7 @@
 		}
 		if r.state == stateStarting || r.state == stateDoubtful {
 			r.state, r.began = stateRunning, now // the answer to its start is late
+			r.checked = now                      // a look that was sent before may have been carried out earlier
 		}
 	}
 	for _, r := range inOrder(s.runs) {
