--- a/runs/look.go
+++ b/runs/look.go
@@ -80,8 +80,8 @@
 			continue
 		}
 		if r.state == stateStarting || r.state == stateDoubtful {
-			r.state, r.began = stateRunning, now // the answer to its start is late
-			r.checked = now                      // a look that was sent before may have been carried out earlier
+			// The answer to its start is late. So may be a look that was sent before, which doesn't list the run.
+			r.state, r.began, r.checked = stateRunning, now, now
 		}
 	}
 	for _, r := range inOrder(s.runs) {
