--- a/runs/world_host_test.go
+++ b/runs/world_host_test.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
 )
 
 const (
@@ -81,6 +83,16 @@
 	h.send(func(sp *simPlacer) { sp.p.Withdraw(id, h.name, j.Hand, h.w.now) })
 }
 
+// ends takes a placer's word on a job. It returns false for one on an earlier
+// hand-over, which counts only when the job is complete.
+func (h *simHost) ends(sp *simPlacer, e End) bool {
+	if latest := h.to[e.Job] == sp && h.open[e.Job].Hand == e.Hand; !latest && e.State != model.JobEndComplete {
+		return false
+	}
+	delete(h.open, e.Job)
+	return true
+}
+
 // follow hands the open jobs to the next placer.
 func (h *simHost) follow(sp *simPlacer) {
 	if h.lost {
--- a/runs/world_test.go
+++ b/runs/world_test.go
@@ -426,10 +426,10 @@
 		sp.look(o)
 	}
 	for _, e := range out.Ends {
-		sp.w.ended[e.Job] = e.State
-		if h, ok := sp.w.hosts[e.Host]; ok {
-			delete(h.open, e.Job)
+		if h, ok := sp.w.hosts[e.Host]; ok && !h.ends(sp, e) {
+			continue
 		}
+		sp.w.ended[e.Job] = e.State
 		sp.w.onEnd(e)
 	}
 	if out.Fenced {
