--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,7 +22,8 @@
 	playSeeds(t, map[string]seedCase{
 		"faults": {seed: 1, duration: 6 * time.Second},
 		// A look that was late told that runs had ended which had just been found to run.
-		"faults, where two tasks ran twice": {seed: 1018, duration: 15 * time.Second},
+		"faults, where two tasks ran twice":   {seed: 1018, duration: 15 * time.Second},
+		"faults, where three tasks ran twice": {seed: 1119, duration: 15 * time.Second},
 	})
 }
 
@@ -35,6 +36,7 @@
 		"planned work only, where a placer that had just started took over again":  {seed: 12, duration: 15 * time.Second, planned: true},
 		"planned work only, where a stopping host closed a connection in use":      {seed: 344, duration: 15 * time.Second, planned: true},
 		"planned work only, where a placer was fenced off before it knew the next": {seed: 452, duration: 15 * time.Second, planned: true},
+		"planned work only, where placers that stood still dropped jobs":           {seed: 1116, duration: 15 * time.Second, planned: true},
 	})
 }
 
