--- a/events/hosted.go
+++ b/events/hosted.go
@@ -164,6 +164,11 @@
 		Meaning: "Changed settings can't be used. Those before stay in force.",
 		Action:  "Mend the field that the error names.",
 	}
+	ListenerCloses = Event{
+		Code: 642, Name: "ListenerCloses", Level: zerolog.WarnLevel, Fields: []string{"Address", "Error"},
+		Meaning: "A stopping host couldn't close its listener for callers as it should. Connections that are opened in that moment may be reset.",
+		Action:  "None, unless callers miss answers when hosts are stopped: then see the error.",
+	}
 )
 
 // hostedEvents are the events above in the order of their numbers.
@@ -173,6 +178,6 @@
 		RoutesInForce, RoutesUnreadable, CoreReached, CoreUnreached, PlacerKnown, PlacerSilent, PlacerAnswers,
 		JobTaken, JobRehanded, JobAnswered, CallerLeft, JobMalformed, CallerGone,
 		PlacingBegan, PlacingEnded, JobHanded, JobPlaced, RunChanged, ServerChanged, OrderUnanswered, ReportMalformed, PlacingSettled,
-		SettingsReloaded, SettingsKept,
+		SettingsReloaded, SettingsKept, ListenerCloses,
 	}
 }
--- a/hosted/door.go
+++ b/hosted/door.go
@@ -21,7 +21,8 @@
 // closes connections on which it has just read a request.
 type door struct {
 	listener net.Listener
-	shutAt   time.Time // when the system was told to take no more, zero before
+	failed   func(error) // hears what keeps the listener from closing without loss
+	shutAt   time.Time   // when the system was told to take no more, zero before
 	closed   bool
 	emptyAt  time.Time // when the connections began to be closed, zero before
 }
@@ -36,10 +37,14 @@
 	case d.closed:
 	case !d.shut():
 		d.shutAt = now
-		turnAway(d.listener)
+		if err := turnAway(d.listener); err != nil {
+			d.failed(err)
+		}
 	case now.Sub(d.shutAt) >= doorTime:
 		d.closed = true
-		_ = d.listener.Close()
+		if err := d.listener.Close(); err != nil {
+			d.failed(err)
+		}
 	}
 	return d.closed
 }
--- a/hosted/door_linux.go
+++ b/hosted/door_linux.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"errors"
 	"net"
 
 	"golang.org/x/sys/unix"
@@ -26,18 +27,20 @@
 
 // turnAway has the system take no new connections for a listener. Where it can't,
 // those that come while the listener closes are reset.
-func turnAway(l net.Listener) {
+func turnAway(l net.Listener) error {
 	tcp, ok := l.(*net.TCPListener)
 	if !ok {
-		return
+		return nil
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return
+		return err
 	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{
+	var refused error
+	err = raw.Control(func(fd uintptr) {
+		refused = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{
 			Len: uint16(len(noFirstSegment)), Filter: &noFirstSegment[0],
 		})
 	})
+	return errors.Join(err, refused)
 }
--- a/hosted/door_other.go
+++ b/hosted/door_other.go
@@ -6,4 +6,4 @@
 
 // turnAway does nothing: connections that come while the listener closes are
 // reset.
-func turnAway(net.Listener) {}
+func turnAway(net.Listener) error { return nil }
--- a/hosted/listen.go
+++ b/hosted/listen.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"dogwoodrock.example/dogwoodrock/events"
 	"dogwoodrock.example/dogwoodrock/kernel"
 )
 
@@ -45,7 +46,7 @@
 			if err != nil {
 				return err
 			}
-			front = door{listener: listener}
+			front = door{listener: listener, failed: func(err error) { h.Log.At(events.ListenerCloses).Str("Address", l.Address).Err(err).Send() }}
 			server = newServer(counting(handler, &open))
 			server.ConnContext = withConn
 			server.ConnState = func(_ net.Conn, state http.ConnState) { countConn(&conns, state) }
--- a/placer/node.go
+++ b/placer/node.go
@@ -257,8 +257,8 @@
 }
 
 // listenAgain begins the silence of the entry hosts anew after this host stood
-// still: it may not have heard them. A host that counts as lost isn't told so, and
-// waits for jobs that were dropped. The leases of their runs end by themselves.
+// still: it may not have heard them, and the jobs of a host that counts as lost are
+// dropped. The leases of their runs end by themselves.
 func (n *Node) listenAgain(now time.Time) {
 	for _, h := range n.hosts {
 		h.since = now
