Answer begun decisions and fill in ends in one place each

- A host that leads no more and one whose disk is full gave up what they had begun by two copies of one loop: core.Node.answerBegun.
- Two places filled in the end of a job for one that waits: newEnd and to.

--- a/core/node.go
+++ b/core/node.go
@@ -308,12 +308,18 @@
 }
 
 func (n *Node) leadNoMore(view uint64) {
-	begun := n.open
-	n.watch, n.open = nil, nil
-	n.log.Drop() // begun is answered below
+	n.watch = nil
 	n.Hooks.Leading(false, view)
+	n.answerBegun(Answer{Lost: true})
+}
+
+// answerBegun gives up the decisions that this host has begun.
+func (n *Node) answerBegun(a Answer) {
+	begun := n.open
+	n.open = nil
+	n.log.Drop()
 	for _, reply := range begun {
-		reply(Answer{Lost: true})
+		reply(a)
 	}
 }
 
--- a/core/room.go
+++ b/core/room.go
@@ -27,18 +27,13 @@
 	}
 	n.room = room{full: true, since: now, tryAt: now.Add(roomInterval)}
 	n.Hooks.Full(0, err)
-	begun := n.open
-	n.open = nil
-	n.log.Drop() // begun is answered below
+	n.answerBegun(Answer{Full: true})
 	if n.watch != nil {
 		n.leadNoMore(n.replica.Status(now).View)
 	}
 	if n.leader == n.Self {
 		n.leader = ""
 	}
-	for _, reply := range begun {
-		reply(Answer{Full: true})
-	}
 	return true
 }
 
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -199,7 +199,7 @@
 
 // end tells the end of a job and forgets it.
 func (p *Placer) end(j *job, state model.JobEnd, reason string, now time.Time) {
-	e := End{Job: j.ID, Route: j.Route, State: state, Reason: reason, Took: now.Sub(j.Came), Waited: j.waited(now)}
+	e := j.newEnd(state, reason, now)
 	if state != model.JobEndComplete {
 		e.Wait, e.Waiting, e.Servers = p.wait(j, now), len(p.waiting), p.inUse(now)
 	}
@@ -207,8 +207,7 @@
 		e.RetryAfter = max(e.Wait, model.LeastRetryAfter)
 	}
 	for _, w := range j.waiters {
-		e.Host, e.Incarnation, e.Hand = w.host, w.incarnation, w.hand
-		p.out.Ends = append(p.out.Ends, e)
+		p.out.Ends = append(p.out.Ends, e.to(w))
 	}
 	if state == model.JobEndRefused {
 		p.sendAway(j)
@@ -219,6 +218,17 @@
 	p.drop(j, j.until(), "job ended", now)
 }
 
+// newEnd returns how the job ended, addressed to no waiter yet.
+func (j *job) newEnd(state model.JobEnd, reason string, now time.Time) End {
+	return End{Job: j.ID, Route: j.Route, State: state, Reason: reason, Took: now.Sub(j.Came), Waited: j.waited(now)}
+}
+
+// to addresses an end to one that waits for it.
+func (e End) to(w waiter) End {
+	e.Host, e.Incarnation, e.Hand = w.host, w.incarnation, w.hand
+	return e
+}
+
 // waited returns how long the job waited for the latest start of a task.
 func (j *job) waited(now time.Time) time.Duration {
 	if j.idle > 0 || j.start.IsZero() {
--- a/runs/wait.go
+++ b/runs/wait.go
@@ -123,10 +123,7 @@
 func (p *Placer) tellLost(j *job, host string, now time.Time) {
 	for _, w := range j.waiters {
 		if w.host == host {
-			p.out.Ends = append(p.out.Ends, End{
-				Job: j.ID, Host: host, Incarnation: w.incarnation, Hand: w.hand, Route: j.Route,
-				State: model.JobEndUnknown, Reason: "nothing was heard of its entry host", Took: now.Sub(j.Came), Waited: j.waited(now),
-			})
+			p.out.Ends = append(p.out.Ends, j.newEnd(model.JobEndUnknown, "nothing was heard of its entry host", now).to(w))
 		}
 	}
 }
--- a/runs/waited_test.go
+++ b/runs/waited_test.go
@@ -1,7 +1,6 @@
 package runs
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -80,35 +79,3 @@
 		})
 	}
 }
-
-// TestFirstWordAfterHandOver has a job come before the first word of its entry host,
-// as after each change of the placer, and some time pass in between.
-func TestFirstWordAfterHandOver(t *testing.T) {
-	tests := map[string]struct {
-		before func(d *desk)
-		pass   time.Duration // from the hand-over to the first word
-	}{
-		"at once":                            {},
-		"after a tick":                       {pass: 20 * time.Millisecond},
-		"after half a second":                {pass: 500 * time.Millisecond},
-		"another job of the host came later": {pass: 20 * time.Millisecond, before: func(d *desk) { d.submit("k", "h9") }},
-		"its process before was lost": {pass: 20 * time.Millisecond, before: func(d *desk) {
-			d.p.Waits("h9", d.now)
-			d.p.HostLost("h9", 2, d.now)
-		}},
-	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			d := newDesk(t)
-			if tt.before != nil {
-				tt.before(d)
-			}
-			d.submit("j", "h9")
-			d.after(tt.pass)
-			d.p.Waits("h9", d.now)
-			if !slices.ContainsFunc(d.drain().Starts, func(s Start) bool { return s.Task == "j.0.0.0" }) {
-				t.Fatal("the job doesn't begin when its entry host is known to wait")
-			}
-		})
-	}
-}
--- /dev/null
+++ b/runs/world_placer_test.go
@@ -0,0 +1,222 @@
+package runs
+
+import (
+	"slices"
+	"time"
+
+	"dogwoodrock.example/dogwoodrock/model"
+)
+
+// simPlacer drives one placer, as the service of package placer does.
+type simPlacer struct {
+	w      *world
+	p      *Placer
+	dc     string
+	waited map[string]time.Time // until which each host is known to have waited
+	asked  map[string]time.Time // when each host was asked for a pulse
+	frozen bool
+	dead   bool
+	late   []func()
+}
+
+// newPlacer returns a placer of the first data centre that has the table of the
+// one before.
+func (w *world) newPlacer(epoch uint64) *simPlacer {
+	return w.newPlacerIn(firstDataCentre, epoch)
+}
+
+func (w *world) newPlacerIn(dc string, epoch uint64) *simPlacer {
+	sp := &simPlacer{w: w, p: New(epoch, true, w.now), dc: dc, waited: map[string]time.Time{}, asked: map[string]time.Time{}}
+	w.placers = append(w.placers, sp)
+	sp.p.TakeOver(w.table(dc), w.now)
+	sp.tick()
+	sp.beat()
+	return sp
+}
+
+// newPlacerWithout returns a placer without a table. If the one before has stopped
+// it may send its own; else the core tells a part, or only reports tell of servers.
+func (w *world) newPlacerWithout(epoch uint64, stopped bool) *simPlacer {
+	sp := &simPlacer{w: w, p: New(epoch, false, w.now), dc: firstDataCentre, waited: map[string]time.Time{}, asked: map[string]time.Time{}}
+	w.placers = append(w.placers, sp)
+	table := w.table(firstDataCentre)
+	told := time.Duration(w.rng.IntN(100)) * time.Millisecond
+	switch {
+	case stopped && w.chance(0.7):
+		w.after(told, func() { sp.do(func() { sp.p.Inherit(sp.unknown(table), w.now) }); sp.confirm() })
+	case w.chance(0.7):
+		part := table[:w.rng.IntN(len(table)+1)]
+		w.after(told, func() { sp.do(func() { sp.p.Learn(sp.unknown(part), w.now) }); sp.confirm() })
+	}
+	sp.tick()
+	w.after(time.Duration(w.rng.IntN(1500))*time.Millisecond, sp.beat)
+	return sp
+}
+
+const firstDataCentre = "dc"
+
+func (w *world) table(dc string) []model.Server {
+	var table []model.Server
+	for _, s := range inOrder(w.servers) {
+		if s.report.DataCentre == dc {
+			table = append(table, s.report)
+		}
+	}
+	return table
+}
+
+// unknown returns those of the servers that the placer hasn't heard of.
+func (sp *simPlacer) unknown(table []model.Server) []model.Server {
+	return slices.DeleteFunc(slices.Clone(table), func(s model.Server) bool { return sp.p.servers[s.Name] != nil })
+}
+
+func (sp *simPlacer) tick() {
+	if sp.dead {
+		return
+	}
+	sp.do(func() {
+		sp.askHosts()
+		sp.loseHosts()
+		sp.p.Tick(sp.w.now)
+	})
+	sp.w.after(20*time.Millisecond, sp.tick)
+}
+
+func (sp *simPlacer) beat() {
+	for _, s := range inOrder(sp.w.servers) {
+		s.report.Seq++
+		if report := s.report; !s.cut && report.DataCentre == sp.dc {
+			sp.do(func() { sp.p.Report(report, sp.w.now) })
+		}
+	}
+	sp.confirm()
+	if !sp.dead {
+		sp.w.after(1500*time.Millisecond, sp.beat)
+	}
+}
+
+// confirm has the other hosts confirm a little later that they know of all servers:
+// the next placer has them in its table.
+func (sp *simPlacer) confirm() {
+	sp.w.after(5*time.Millisecond, func() {
+		sp.do(func() {
+			for name := range sp.p.servers {
+				sp.p.Spread(name)
+			}
+		})
+	})
+}
+
+// do hands something to the placer, later if it is frozen.
+func (sp *simPlacer) do(f func()) {
+	switch {
+	case sp.dead:
+	case sp.frozen:
+		sp.late = append(sp.late, f)
+	default:
+		f()
+		sp.carryOut()
+	}
+}
+
+func (sp *simPlacer) thaw() {
+	sp.frozen = false
+	for _, f := range sp.late {
+		sp.do(f)
+	}
+	sp.late = nil
+}
+
+func (sp *simPlacer) carryOut() {
+	out := sp.p.Drain(sp.w.now)
+	for _, o := range out.Starts {
+		sp.order(o.Server.Name, o.Fence, &o.Deadline, func(s *simServer) Outcome { return s.start(o) }, func(a Outcome, clock int64) {
+			sp.p.Started(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: a, Clock: clock}, sp.w.now)
+		})
+	}
+	for _, o := range out.Stops {
+		sp.order(o.Server.Name, o.Fence, new(int64), func(s *simServer) Outcome { return s.stop(o) }, func(a Outcome, clock int64) {
+			sp.p.Stopped(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: a, Clock: clock}, sp.w.now)
+		})
+	}
+	for _, o := range out.Looks {
+		sp.look(o)
+	}
+	for _, e := range out.Ends {
+		if h, ok := sp.w.hosts[e.Host]; ok && !h.ends(sp, e) {
+			continue
+		}
+		sp.w.ended[e.Job] = e.State
+		sp.w.onEnd(e)
+	}
+	if out.Fenced {
+		sp.dead = true
+	}
+}
+
+// order sends an order; it may get lost on either way or be carried out late.
+func (sp *simPlacer) order(name string, fence uint64, deadline *int64, carryOut func(*simServer) Outcome, answer func(Outcome, int64)) {
+	w := sp.w
+	unanswered := func() { w.after(60*time.Millisecond, func() { sp.do(func() { answer(OutcomeUnknown, 0) }) }) }
+	s := w.servers[name]
+	switch {
+	case s.cut || w.chance(w.trouble.lost):
+		unanswered()
+	case w.chance(w.trouble.late):
+		s.late(fence, deadline, func() { carryOut(s) })
+		unanswered()
+	default:
+		w.after(w.delay(), func() {
+			outcome := carryOut(s)
+			clock := s.clock()
+			if s.cut || w.chance(w.trouble.lost) {
+				unanswered()
+				return
+			}
+			w.after(w.delay(), func() { sp.do(func() { answer(outcome, clock) }) })
+		})
+	}
+}
+
+func (sp *simPlacer) look(o Look) {
+	w := sp.w
+	sent := w.now
+	s := w.servers[o.Server.Name]
+	answered := false
+	reply := func(m Seen) {
+		if !answered {
+			answered = true
+			sp.do(func() { sp.p.Looked(m, w.now) })
+		}
+	}
+	unknown := Seen{Server: o.Server.Name, Seq: o.Seq, Fence: o.Fence, Outcome: OutcomeUnknown}
+	w.after(o.Wait+60*time.Millisecond, func() { reply(unknown) })
+	if s.cut || w.chance(w.trouble.lost) {
+		return
+	}
+	if w.chance(w.trouble.late) {
+		s.late(o.Fence, &o.Deadline, func() { s.hold(o) })
+		return
+	}
+	w.after(w.delay(), func() {
+		if outcome := s.hold(o); outcome != OutcomeTaken {
+			w.after(w.delay(), func() { reply(Seen{Server: o.Server.Name, Seq: o.Seq, Fence: o.Fence, Outcome: outcome}) })
+			return
+		}
+		done := false
+		send := func() {
+			if done || s.cut {
+				return
+			}
+			done = true
+			m := s.seen(o, sent)
+			w.after(w.delay(), func() { reply(m) })
+		}
+		if len(s.ends) > 0 || o.Wait == 0 {
+			send()
+			return
+		}
+		s.waiting = append(s.waiting, send)
+		w.after(o.Wait, send)
+	})
+}
