--- a/model/placement.go
+++ b/model/placement.go
@@ -28,22 +28,6 @@
 	Source  []byte
 }
 
-// Server is the report of a backend server that runs tasks under a lease.
-type Server struct {
-	Name         string
-	Address      string // IP and port on which it accepts orders
-	DataCentre   string
-	Service      string
-	Born         int64  // start of its process in Unix milliseconds, 0 if not reported
-	Seq          uint64 // sequence number, increases with each report of a process
-	CPU          int64  // thousandths of a core
-	MemoryMB     int64
-	Accelerators int64
-	Labels       []string // the first one is its kind
-	Draining     bool
-	Left         bool
-}
-
 // ServerTable holds the backend servers of a data centre as known to the placer of an epoch.
 type ServerTable struct {
 	DataCentre string
@@ -57,23 +41,6 @@
 	return t.Epoch > other.Epoch || (t.Epoch == other.Epoch && t.Version > other.Version)
 }
 
-// Kind returns the first label, which servers of the same hardware share, or "" if there is none.
-func (s Server) Kind() string {
-	if len(s.Labels) == 0 {
-		return ""
-	}
-	return s.Labels[0]
-}
-
-// Newer reports whether the report is newer than another report of the same server. The process that
-// started later has the newer reports.
-func (s Server) Newer(other Server) bool {
-	if s.Born != other.Born {
-		return s.Born > other.Born
-	}
-	return s.Seq > other.Seq
-}
-
 // JobEnd is the outcome of a job that was handed over to a placer.
 type JobEnd int
 
