--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -54,6 +54,11 @@
 		Meaning: "Another host that couldn't be reached is found at a new address, which it gave itself.",
 		Action:  "Put the address into the settings of this host.",
 	}
+	PeerMessageInvalid = Event{
+		Code: 204, Name: "PeerMessageInvalid", Level: zerolog.ErrorLevel, Fields: []string{"Peer", "Service", "Error"},
+		Meaning: "A message to a service of another host can't be encoded and was dropped, so that those behind it are delivered.",
+		Action:  "Report the line: what comes from outside should have been checked before.",
+	}
 	PrimaryChanged = Event{
 		Code: 300, Name: "PrimaryChanged", Level: zerolog.InfoLevel, Fields: []string{"Primary", "View"},
 		Meaning: "Another host leads the data centre's group.",
@@ -125,7 +130,7 @@
 func Catalogue() []Event {
 	return append([]Event{
 		Started, Stopping, Stopped, ServicePanicked, Failed, DiskLost,
-		PeerUnreachable, PeerReachable, PeerDiscarded, PeerMoved,
+		PeerUnreachable, PeerReachable, PeerDiscarded, PeerMoved, PeerMessageInvalid,
 		PrimaryChanged, LeaseLost, HostExpelled, HostLeft, ServingAlone, ServingAloneEnded,
 		BackendServerAnnounced, BackendServerLapsed, BackendServerLeft,
 		BackendServerEjected, BackendServerRestored,
--- a/events/hosted.go
+++ b/events/hosted.go
@@ -149,6 +149,11 @@
 		Meaning: "A report that should be a backend server's can't be read. It names no server to use.",
 		Action:  "Find out who sends it.",
 	}
+	AnswerRowsUnread = Event{
+		Code: 639, Name: "AnswerRowsUnread", Level: zerolog.WarnLevel, Fields: []string{"BackendServer", "Rows", "Error"},
+		Meaning: "A backend server listed runs in rows that can't be read. The other rows hold; while the server lists such rows, it gets no new tasks and no run counts as vanished there. Logged once a server.",
+		Action:  "Check that server.",
+	}
 	PlacingSettled = Event{
 		Code: 638, Name: "PlacingSettled", Level: zerolog.InfoLevel, Fields: []string{"TookMs"},
 		Meaning: "The placer knows what earlier placers left running.",
@@ -177,7 +182,7 @@
 		CoreLeading, CoreJoined, RoutesCommitted, RoutesRefused, PlacementCommitted, DiskFailed, DiskFull, DiskHasRoom,
 		RoutesInForce, RoutesUnreadable, CoreReached, CoreUnreached, PlacerKnown, PlacerSilent, PlacerAnswers,
 		JobTaken, JobRehanded, JobAnswered, CallerLeft, JobMalformed, CallerGone,
-		PlacingBegan, PlacingEnded, JobHanded, JobPlaced, RunChanged, ServerChanged, OrderUnanswered, ReportMalformed, PlacingSettled,
+		PlacingBegan, PlacingEnded, JobHanded, JobPlaced, RunChanged, ServerChanged, OrderUnanswered, ReportMalformed, PlacingSettled, AnswerRowsUnread,
 		SettingsReloaded, SettingsKept, ListenerCloses,
 	}
 }
--- a/runs/types.go
+++ b/runs/types.go
@@ -146,6 +146,7 @@
 	Sent    time.Time
 	Active  []ActiveRun
 	Ended   []EndedRun
+	Unread  int // entries of both lists that can't be read; the others hold
 }
 
 // EventKind is the kind of an Event, as used in counters and logs.
