Keep runs and tables clear of reports that no server has confirmed

Cause: what a report says was believed before any process had answered for it. - A report that names another address for a server with runs moved the server; when another process answered there, the runs counted as gone and their tasks started elsewhere, up to 0.8 s before the lease of the first ended: the same task twice. - A server that reported and answers nothing entered the table, so each next placer waited 1.2 s for its answer, and it held up jobs handed over again at the present one. - An answer with a row that can't be read counted as proof that a run isn't there.

Change: - A server with runs doesn't move; one without is forgotten and found anew. A server that really restarted elsewhere counts again when the leases of its runs are over. - A server enters the table once it has answered a poll (candidates until then). The 2.5 s after which a server may be used without confirmation count from that answer. - A takeover waits for the servers that the previous placer may have used, which are those of its table, not for servers that reported since. - An answer with unread rows shows no run as gone, and the server gets no new tasks for 0.5 s.

The tests of tables answer the polls of their servers now, as real servers do; TestDrain lets the placer stall, because an idle server that has answered isn't polled again. What they check is unchanged.

Ruled out: not to accept servers of services that no route names. A new configuration may name the service a moment later, and its servers have to be known by then.

--- a/placer/orders.go
+++ b/placer/orders.go
@@ -22,6 +22,7 @@
 	}
 	if n.placer != nil && n.placer.Epoch() == m.epoch {
 		m.apply(n.placer, now)
+		n.addVerified(now)
 	}
 }
 
@@ -32,22 +33,16 @@
 	}
 	out := n.placer.Drain(now)
 	for _, o := range out.Starts {
-		n.call(0, func(ctx context.Context) func(*runs.Placer, time.Time) {
-			a := n.Calls.Start(ctx, o)
-			return func(p *runs.Placer, now time.Time) { p.Started(a, now) }
-		})
+		unknown := runs.Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: runs.OutcomeUnknown}
+		call(n, 0, func(ctx context.Context) runs.Answer { return n.Calls.Start(ctx, o) }, unknown, (*runs.Placer).Started)
 	}
 	for _, o := range out.Stops {
-		n.call(0, func(ctx context.Context) func(*runs.Placer, time.Time) {
-			a := n.Calls.Stop(ctx, o)
-			return func(p *runs.Placer, now time.Time) { p.Stopped(a, now) }
-		})
+		unknown := runs.Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: runs.OutcomeUnknown}
+		call(n, 0, func(ctx context.Context) runs.Answer { return n.Calls.Stop(ctx, o) }, unknown, (*runs.Placer).Stopped)
 	}
 	for _, o := range out.Polls {
-		n.call(o.Wait, func(ctx context.Context) func(*runs.Placer, time.Time) {
-			result := n.Calls.Poll(ctx, o)
-			return func(p *runs.Placer, now time.Time) { p.Polled(result, now) }
-		})
+		unknown := runs.PollResult{Server: o.Server.Name, Seq: o.Seq, Fence: o.Fence, Outcome: runs.OutcomeUnknown}
+		call(n, o.Wait, func(ctx context.Context) runs.PollResult { return n.Calls.Poll(ctx, o) }, unknown, (*runs.Placer).Polled)
 	}
 	for _, e := range out.Events {
 		n.Hooks.RunEvent(n.placer.Epoch(), e)
@@ -66,15 +61,18 @@
 	}
 }
 
-// call makes a call in a child task and returns its answer to the placer that ordered
-// it. The server may hold back its answer for wait, which extends the timeout.
-func (n *PlacingService) call(wait time.Duration, do func(ctx context.Context) func(*runs.Placer, time.Time)) {
+// call makes a call in a child task and passes its answer to the placer that ordered it, or
+// unknown if the call panics. The server may hold back its answer for wait, which extends
+// the timeout.
+func call[A any](n *PlacingService, wait time.Duration, do func(ctx context.Context) A, unknown A, process func(p *runs.Placer, a A, now time.Time)) {
 	epoch, sent := n.placer.Epoch(), n.task.Env.Now()
 	timeout := wait + n.latency.timeout()
-	n.task.Go(func(ctx context.Context) {
+	result := func(a A) any {
+		return callResult{epoch: epoch, sentAt: sent, wait: wait, apply: func(p *runs.Placer, now time.Time) { process(p, a, now) }}
+	}
+	n.task.Call(func(ctx context.Context) any {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		apply := do(ctx)
-		n.task.Self.Reply(callResult{epoch: epoch, sentAt: sent, wait: wait, apply: apply})
-	})
+		return result(do(ctx))
+	}, func(error) any { return result(unknown) })
 }
--- a/placer/pulse_test.go
+++ b/placer/pulse_test.go
@@ -241,10 +241,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture()
-			f.handleReport(model.Server{Name: "s", DataCentre: "dc", Service: "svc", CPU: 100, Born: 1, Seq: 1}, f.now)
-			for _, l := range f.placer.Drain(f.now).Polls {
-				f.placer.Polled(runs.PollResult{Server: "s", Born: 1, Seq: l.Seq, Outcome: runs.OutcomeTaken, Clock: 1, Sent: f.now}, f.now)
-			}
+			f.addServer("s")
 			f.handlePulse(msgs.Pulse{Host: "far", DataCentre: tt.dc, Incarnation: 1, Epoch: 9}, f.now)
 			if got := len(f.replies[len(f.replies)-1].Table); got != tt.table {
 				t.Fatalf("%d servers sent to the host, want %d", got, tt.table)
@@ -278,7 +275,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture()
-			f.handleReport(model.Server{Name: "s", DataCentre: "dc", Service: "svc", CPU: 100, Born: 1, Seq: 1}, f.now)
+			f.addServer("s")
 			tt.act(f)
 			last := f.replies[len(f.replies)-1]
 			if last.Servers != tt.version {
--- a/placer/replicate_test.go
+++ b/placer/replicate_test.go
@@ -29,9 +29,12 @@
 	f.answerPolls()
 }
 
+// answerPolls has all servers answer their polls, as the service of the placer does.
 func (f *fixture) answerPolls() {
 	for _, l := range f.placer.Drain(f.now).Polls {
-		f.placer.Polled(runs.PollResult{Server: l.Server.Name, Born: 1, Seq: l.Seq, Outcome: runs.OutcomeTaken, Clock: 1, Sent: f.now}, f.now)
+		f.handleResult(callResult{epoch: f.placer.Epoch(), sentAt: f.now, apply: func(p *runs.Placer, now time.Time) {
+			p.Polled(runs.PollResult{Server: l.Server.Name, Born: 1, Seq: l.Seq, Outcome: runs.OutcomeTaken, Clock: 1, Sent: now}, now)
+		}}, f.now)
 	}
 }
 
@@ -91,12 +94,14 @@
 			f.addServer("s")
 			f.advance(tickInterval, "h1", "h2")
 			f.handleReport(model.Server{Name: "s", Address: "t", DataCentre: "dc", Service: "svc", CPU: 100, Born: 1, Seq: 2}, f.now)
+			f.answerPolls()
 			f.advance(tickInterval, "h1")
 		}},
 		"all have confirmed its new address": {act: func(f *fixture) {
 			f.advance(tickInterval, "h1", "h2")
 			f.addServer("s")
 			f.handleReport(model.Server{Name: "s", Address: "t", DataCentre: "dc", Service: "svc", CPU: 100, Born: 1, Seq: 2}, f.now)
+			f.answerPolls()
 			f.advance(tickInterval, "h1", "h2")
 		}, used: 1},
 		"the previous placer has sent it, and one hasn't confirmed it": {act: func(f *fixture) {
--- a/placer/service.go
+++ b/placer/service.go
@@ -77,6 +77,7 @@
 	placer            *runs.Placer // nil while another host places
 	placement         model.Placement
 	servers           map[string]model.Server
+	candidates        map[string]model.Server  // reported, and not verified yet
 	tableVersion      uint64                   // of servers
 	changes           map[string]change        // latest change of each server, by name
 	tableEpoch        uint64                   // of the placer that sent servers
@@ -173,6 +174,7 @@
 				n.startedAt = t.Env.Now() // stamps keep rising when the service restarts
 			}
 			n.servers = map[string]model.Server{}
+			n.candidates = map[string]model.Server{}
 			n.hosts = map[string]*host{}
 			n.replicas = map[string]*tableReplica{}
 			n.processes = map[string]*process{}
@@ -262,6 +264,7 @@
 			n.sendPulsed(name, h, now)
 		}
 	}
+	n.addVerified(now)
 	n.replicateTable(now)
 	n.markReplicated(now)
 	n.placer.Tick(now)
@@ -303,7 +306,7 @@
 	n.placer.TakeOver(slices.Collect(maps.Values(n.servers)), now)
 	n.tableEpoch, n.tableCompleteAt, n.tableFinal, n.lastEpochPlaced = p.Epoch, time.Time{}, false, p.Epoch
 	n.tableVersion, n.changes, n.hosts = 1, map[string]change{}, map[string]*host{}
-	n.replicas, n.replicatedVersion = map[string]*tableReplica{}, 0
+	n.candidates, n.replicas, n.replicatedVersion = map[string]model.Server{}, map[string]*tableReplica{}, 0
 	for name, s := range n.servers {
 		n.changes[name] = change{version: 1, server: s, changedAt: now}
 	}
@@ -378,7 +381,8 @@
 	n.placer.Withdraw(m.Job, m.Host, m.Hand, now)
 }
 
-// handleReport records a report of a backend server.
+// handleReport records a report of a backend server. A server that is new or has moved enters
+// the table when it is verified.
 func (n *PlacingService) handleReport(s model.Server, now time.Time) ReportResult {
 	old, known := n.servers[s.Name]
 	switch {
@@ -386,15 +390,40 @@
 		return ReportResult{Placer: n.placement.Host}
 	case !s.Left && known && !s.Newer(old):
 		return ReportResult{Accepted: true}
-	case !known || s.Left || old.Born != s.Born || old.Draining != s.Draining || old.Address != s.Address:
+	case !n.placer.Report(s, now):
+		return ReportResult{}
+	}
+	switch {
+	case s.Left:
+		delete(n.candidates, s.Name)
+		n.setServer(s, now)
+	case !n.placer.Verified(s.Name):
+		if known {
+			n.setServer(model.Server{Name: s.Name, Left: true}, now)
+		}
+		n.candidates[s.Name] = s
+	case !known || old.Born != s.Born || old.Draining != s.Draining:
 		n.setServer(s, now)
 	default:
 		n.servers[s.Name] = s
 	}
-	n.placer.Report(s, now)
 	return ReportResult{Accepted: true}
 }
 
+// addVerified moves the candidates that have been verified to the table, and drops those that
+// the placer has given up.
+func (n *PlacingService) addVerified(now time.Time) {
+	for name, s := range n.candidates {
+		switch {
+		case n.placer == nil || !n.placer.HasServer(name):
+			delete(n.candidates, name)
+		case n.placer.Verified(name):
+			delete(n.candidates, name)
+			n.setServer(s, now)
+		}
+	}
+}
+
 // tableAge returns for how long the placer that sent the table may have used servers
 // that it lacks: 0 when that placer has stopped or there was none, unknownTableAge
 // when the time isn't known.
--- a/placer/table_test.go
+++ b/placer/table_test.go
@@ -65,6 +65,10 @@
 	for _, name := range []string{"s1", "s2"} {
 		f.previous.handleReport(model.Server{Name: name, DataCentre: "dc", Born: 1, Seq: 1, CPU: 1000}, f.now)
 	}
+	for _, l := range f.previous.placer.Drain(f.now).Polls {
+		f.previous.placer.Polled(runs.PollResult{Server: l.Server.Name, Born: 1, Seq: l.Seq, Outcome: runs.OutcomeTaken, Clock: 1, Sent: f.now}, f.now)
+	}
+	f.previous.addVerified(f.now)
 	return f
 }
 
@@ -154,6 +158,8 @@
 // places next: only then can it send its table.
 func TestDrain(t *testing.T) {
 	fence := func(f *failover) {
+		f.now = f.now.Add(time.Second) // a stall, after which the placer polls its servers again
+		f.previous.placer.Tick(f.now)
 		for _, l := range f.previous.placer.Drain(f.now).Polls {
 			f.previous.placer.Polled(runs.PollResult{Server: l.Server.Name, Born: 1, Seq: l.Seq, Fence: l.Fence, Outcome: runs.OutcomeFenced, Sent: f.now}, f.now)
 		}
--- a/runs/placer.go
+++ b/runs/placer.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"fmt"
 	"maps"
 	"strconv"
 	"time"
@@ -35,6 +36,9 @@
 	serverExpiry = 10 * time.Second // after which a server that wasn't heard from is removed
 )
 
+// MaxTasks is the largest number of tasks of a job.
+const MaxTasks = 10_000
+
 // Placer places the runs of one data centre under one epoch.
 type Placer struct {
 	epoch         uint64
@@ -152,6 +156,13 @@
 		})
 		return
 	}
+	if j.Tasks < 1 || j.Tasks > MaxTasks {
+		p.out.Ends = append(p.out.Ends, End{
+			Job: j.ID, Host: j.Host, Incarnation: j.Incarnation, Hand: j.Hand, Route: j.Route, State: model.JobEndFailed,
+			Reason: fmt.Sprintf("it has %d tasks, not 1 to %d", j.Tasks, MaxTasks), Took: now.Sub(j.Arrived), Waited: now.Sub(j.Arrived),
+		})
+		return
+	}
 	k := &job{Job: j, waiters: []waiter{p.waiterOf(j)}, tasks: make([]task, j.Tasks), unfinished: j.Tasks, pending: j.Tasks}
 	for i := range k.tasks {
 		k.tasks[i] = task{job: k, name: j.ID + ".0.0." + strconv.Itoa(i)}
@@ -306,11 +317,12 @@
 	return 0
 }
 
-// allPolled reports whether all servers of the previous placer are known and every known
-// server has answered a poll.
+// allPolled reports whether all servers of the previous placer are known and have answered a
+// poll. It doesn't wait for servers that have only reported since: the previous placer used
+// none of them, and the report may come from another writer.
 func (p *Placer) allPolled() bool {
 	for _, s := range p.order {
-		if !s.polled {
+		if s.inherited && !s.polled {
 			return false
 		}
 	}
--- a/runs/poll.go
+++ b/runs/poll.go
@@ -33,9 +33,8 @@
 	}
 	s.learnClock(m.Clock, now)
 	first := !s.polled
-	s.polled = true
 	if first {
-		s.lease = max(s.lease, s.clock+maxLease.Milliseconds())
+		s.firstAnswer(now)
 	}
 	for _, e := range m.Ended {
 		if e.N > s.cursor {
@@ -46,11 +45,24 @@
 	p.reconcile(s, m, first, now)
 }
 
+// firstAnswer records the first answer to a poll since the server was found or restarted, or
+// the placer was stalled.
+func (s *server) firstAnswer(now time.Time) {
+	s.polled = true
+	if !s.verified {
+		s.verified, s.foundAt = true, now
+	}
+	s.lease = max(s.lease, s.clock+maxLease.Milliseconds())
+}
+
 // handlePollOutcome reports whether the server answered the poll, and handles the other
 // outcomes.
 func (p *Placer) handlePollOutcome(s *server, m PollResult, now time.Time) bool {
 	switch m.Outcome {
 	case OutcomeTaken:
+		if m.Unread > 0 {
+			s.pausedUntil = now.Add(unreadPause)
+		}
 		return true
 	case OutcomeFenced:
 		if p.noteFenced(s, m.Fence) {
@@ -110,9 +122,10 @@
 	}
 }
 
-// listedBy reports whether the poll would have listed the run if it were active.
+// listedBy reports whether the poll would have listed the run if it were active. An entry
+// that can't be read may be this run, or its end.
 func (r *run) listedBy(m PollResult) bool {
-	return !r.listedAfter.IsZero() && m.Sent.After(r.listedAfter)
+	return m.Unread == 0 && !r.listedAfter.IsZero() && m.Sent.After(r.listedAfter)
 }
 
 // stopDuplicate stops a run that is listed where another run of its task is recorded, for
--- a/runs/server.go
+++ b/runs/server.go
@@ -35,6 +35,7 @@
 	noRoomPause     = 40 * time.Millisecond  // for a server that had no room
 	unhealthyPause  = 500 * time.Millisecond // for a server that reports that it is unhealthy
 	unansweredPause = 60 * time.Millisecond  // for a server that left an order unanswered, until a poll is answered
+	unreadPause     = 500 * time.Millisecond // for a server that listed what can't be read: its runs can't be told to have vanished
 )
 
 const (
@@ -57,7 +58,9 @@
 // server is a backend server as known to the placer.
 type server struct {
 	model.Server
-	foundAt      time.Time       // when this placer first learned of it or of its address
+	inherited    bool            // from the table of an earlier placer, which may have started tasks on it
+	verified     bool            // has answered a poll of this placer, or was inherited
+	foundAt      time.Time       // when it was verified, zero if the placer began with it
 	replicated   bool            // the next placer would know of it
 	lastHeard    time.Time       // last report or answer
 	polled       bool            // has answered a poll of this epoch since it restarted or the placer was stalled
@@ -134,7 +137,7 @@
 // whoever has the placer's table knows them.
 func (p *Placer) TakeOver(servers []model.Server, now time.Time) {
 	for _, m := range servers {
-		p.add(&server{Server: m, lastHeard: now, replicated: true, runs: map[string]*run{}})
+		p.add(&server{Server: m, inherited: true, verified: true, lastHeard: now, replicated: true, runs: map[string]*run{}})
 	}
 }
 
@@ -158,7 +161,7 @@
 // AddServers adds servers of an earlier placer after this one began.
 func (p *Placer) AddServers(servers []model.Server, now time.Time) {
 	for _, m := range servers {
-		p.add(&server{Server: m, foundAt: now, lastHeard: now, runs: map[string]*run{}})
+		p.add(&server{Server: m, inherited: true, verified: true, foundAt: now, lastHeard: now, runs: map[string]*run{}})
 	}
 }
 
@@ -176,6 +179,14 @@
 	}
 }
 
+// Verified reports whether a server has answered a poll of this placer or was in the table
+// of an earlier one. Nothing was started on any other server, and what was reported of it
+// may be wrong.
+func (p *Placer) Verified(name string) bool {
+	s, ok := p.servers[name]
+	return ok && s.verified
+}
+
 // HasServer reports whether the table has a server. Nothing may run on a server that
 // was removed.
 func (p *Placer) HasServer(name string) bool {
@@ -202,30 +213,36 @@
 	return list
 }
 
-// Report processes a report that a server sent about itself.
-func (p *Placer) Report(m model.Server, now time.Time) {
+// Report processes a report that a server sent about itself. It returns false if the report
+// doesn't count: a server on which runs are recorded doesn't move, because an answer from
+// the new address would say nothing about them. A server that has restarted elsewhere
+// reports again when the leases of its runs have expired.
+func (p *Placer) Report(m model.Server, now time.Time) bool {
 	p.noteInput(now)
 	s, ok := p.servers[m.Name]
 	switch {
 	case !ok && m.Left:
-		return
+		return true
 	case !ok:
-		s = &server{Server: m, foundAt: now, runs: map[string]*run{}}
-		p.add(s)
+		p.add(&server{Server: m, lastHeard: now, runs: map[string]*run{}})
 		p.event(Event{Kind: EventFound, Server: m.Name})
+		return true
 	case m.Left:
 		s.Draining = true // polls and its lease show what still runs on it
-		return
+		return true
 	case !m.Newer(s.Server):
-		return
+		return true
+	case m.Address != s.Address && len(s.runs) > 0:
+		return false
+	case m.Address != s.Address:
+		p.removeServer(s, "reported another address")
+		return p.Report(m, now)
 	case m.Born != s.Born:
 		p.serverRestarted(s, m.Born, now)
 	}
-	if m.Address != s.Address {
-		s.foundAt, s.replicated = now, false // the next placer would poll the old address
-	}
 	s.Server = m
 	s.lastHeard = now
+	return true
 }
 
 // serverRestarted records that a new process runs under the server's name. The runs
@@ -332,7 +349,7 @@
 // for startWindow, after which the superseded placer can't start jobs that the next
 // placer has.
 func (s *server) usable(now time.Time) bool {
-	return s.polled && (s.replicated || now.Sub(s.foundAt) >= ReplicationTime) && !s.silent && !s.Draining && now.Sub(s.lastHeard) < reportTimeout &&
+	return s.polled && s.verified && (s.replicated || now.Sub(s.foundAt) >= ReplicationTime) && !s.silent && !s.Draining && now.Sub(s.lastHeard) < reportTimeout &&
 		now.Sub(s.restartedAt) > startWindow &&
 		!now.Before(s.pausedUntil) && s.health.allows(len(s.runs), now)
 }
