Let no single message or answer end a process or hold up the others

Cause: a panic in a child of a service ended the process, unlogged: an answer of a backend server that the HTTP client chokes on, or a panic while a batch is sent. A message with a string that isn't UTF-8 can't be encoded and failed its whole batch at each attempt; the link retried for 2 s and then discarded all that waited, handovers of other callers included. An envelope without content ended the inbox. Random messages ended two services: entry, when two data centres are placed on one host, and the placer, for a job of tasks.

Change: kernel.Task.Call runs a call in a child and sends the service a result of failure if it panics; links, orders of the placer and calls to backend servers use it. A panic of any other child is reported before it ends the process. A link drops the messages that can't be encoded, alone, and logs them (PeerMessageInvalid). Envelopes without content are dropped.

A panic in a service itself still ends the process: what it holds in memory may be half changed, and a placer or a replica must not go on from that. A message that always panics can't do so for ever: a link discards what it can't deliver within 2 s.

--- a/calls/caller.go
+++ b/calls/caller.go
@@ -109,10 +109,10 @@
 	k.cancel = cancel
 	request := newTaskCall(k, now)
 	cl := c.clientFor(t, m.Grant)
-	t.Go(func(context.Context) {
+	t.Call(func(context.Context) any {
 		defer cancel()
-		t.Self.Reply(cl.send(ctx, m, request))
-	})
+		return cl.send(ctx, m, request)
+	}, func(err error) any { return response{task: m.Task, sent: true, err: err} })
 }
 
 func newTaskCall(k *call, now time.Time) *wire.TaskCall {
--- a/codec/envelope.go
+++ b/codec/envelope.go
@@ -119,6 +119,9 @@
 		return nil, &BodyError{Type: fmt.Sprintf("%T", e.GetBody())}
 	}
 	body := reflect.ValueOf(e.GetBody()).Elem().Field(0)
+	if body.IsNil() {
+		return nil, &BodyError{Type: fmt.Sprintf("%T without content", e.GetBody())}
+	}
 	plain := reflect.New(v.plain)
 	v.decode(plain.Elem(), body.Elem())
 	return plain.Elem().Interface(), nil
--- a/entry/service.go
+++ b/entry/service.go
@@ -128,9 +128,10 @@
 	sentAt  time.Time
 }
 
-// unavailable reports whether no job can be handed over to the placer.
+// unavailable reports whether no job can be handed over to the placer, which is nil if it
+// was replaced and nothing is known of it any more.
 func (s *placerState) unavailable() bool {
-	return s.silent || s.idle
+	return s == nil || s.silent || s.idle
 }
 
 // Service returns the JobService as a kernel service that holds at most depth requests.
@@ -379,8 +380,8 @@
 // centre: the host of the last one has restarted, and hosts of the core answer, though
 // they may still be electing a leader.
 func (n *JobService) placerExpected(now time.Time) bool {
-	own, ok := n.placements[n.DataCentre]
-	return ok && n.placers[own.Host].idle && !n.placers[own.Host].silent && now.Sub(n.coreContact) < coreTimeout
+	s := n.placers[n.placements[n.DataCentre].Host]
+	return s != nil && s.idle && !s.silent && now.Sub(n.coreContact) < coreTimeout
 }
 
 func (n *JobService) ready() bool {
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -8,7 +8,7 @@
 
 // Kernel holds the services of one process by name.
 type Kernel struct {
-	Report func(err error) // receives each PanicError
+	Report func(err error) // receives each PanicError; several tasks may call it at the same time
 
 	env    Env
 	mu     sync.RWMutex
--- a/kernel/service.go
+++ b/kernel/service.go
@@ -70,7 +70,30 @@
 
 // Go runs child in a goroutine, where it may block on a socket. The child sends its
 // results as messages and must return soon after its context ends, since the task
-// waits for it.
+// waits for it. A panic of the child is reported and fatal.
 func (t *Task) Go(child func(ctx context.Context)) {
-	t.children.Go(func() { child(t.ctx) })
+	t.children.Go(func() {
+		defer func() {
+			if v := recover(); v != nil {
+				t.Fail(t.reportPanic(v))
+			}
+		}()
+		child(t.ctx)
+	})
+}
+
+// Call runs call in a child as Go does, and sends its result to this service. If call
+// panics, the panic is reported and the service gets the result of failed instead, so that
+// an answer that nothing foresaw ends neither the process nor leaves the service waiting.
+func (t *Task) Call(call func(ctx context.Context) any, failed func(err error) any) {
+	t.Go(func(ctx context.Context) { t.Self.Reply(t.protect(ctx, call, failed)) })
+}
+
+func (t *Task) protect(ctx context.Context, call func(ctx context.Context) any, failed func(err error) any) (result any) {
+	defer func() {
+		if v := recover(); v != nil {
+			result = failed(t.reportPanic(v))
+		}
+	}()
+	return call(ctx)
 }
--- a/kernel/task.go
+++ b/kernel/task.go
@@ -66,13 +66,19 @@
 		return
 	}
 	*stopped = false
-	err := &PanicError{Service: t.service.Name, Value: fmt.Sprint(v), Stack: string(debug.Stack())}
-	t.kernel.Report(err)
+	err := t.reportPanic(v)
 	if t.panics >= t.service.Restarts {
 		t.Fail(err)
 	}
 }
 
+// reportPanic reports the value of a panic of the service or of one of its children.
+func (t *Task) reportPanic(v any) error {
+	err := &PanicError{Service: t.service.Name, Value: fmt.Sprint(v), Stack: string(debug.Stack())}
+	t.kernel.Report(err)
+	return err
+}
+
 // ticks schedules Tick. It uses a ticker because resetting a timer for each
 // interval would wake another thread.
 type ticks struct {
--- a/peers/link.go
+++ b/peers/link.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"dogwoodrock.example/dogwoodrock/codec"
 	"dogwoodrock.example/dogwoodrock/events"
 	"dogwoodrock.example/dogwoodrock/kernel"
@@ -59,6 +61,7 @@
 	deliver       DeliverFunc
 	queue         kernel.Queue[*wire.Envelope]
 	batch         []*wire.Envelope // in flight or to be retried
+	encodable     int              // leading messages of batch that are known to be encodable
 	firstSeq      uint64           // of the first message of batch
 	inFlight      bool
 	sendScheduled bool      // the timer for sendDue is running
@@ -144,12 +147,12 @@
 		Envelopes:   l.batch,
 	}
 	deliver := l.deliver
-	t.Go(func(ctx context.Context) {
+	t.Call(func(ctx context.Context) any {
 		ctx, cancel := context.WithTimeout(ctx, l.Timeout)
 		defer cancel()
 		receipt, err := deliver(ctx, b)
-		t.Self.Reply(sendResult{receipt: receipt, err: err})
-	})
+		return sendResult{receipt: receipt, err: err}
+	}, func(err error) any { return sendResult{err: err} })
 }
 
 // fillBatch moves queued messages into the batch and returns its size in bytes.
@@ -220,12 +223,28 @@
 		return
 	}
 	l.Metrics.Retries.WithLabelValues("PeerUnreachable").Inc()
+	l.blankUnencodable()
 	l.blankAtMostOnce()
 	if now.Sub(l.failingSince) > l.DiscardAfter {
 		l.discard()
 	}
 }
 
+// blankUnencodable replaces the messages of the batch that can't be encoded by empty
+// envelopes. One of them, for example with a string that isn't UTF-8, fails the whole batch
+// at each attempt.
+func (l *Link) blankUnencodable() {
+	for i, e := range l.batch[l.encodable:] {
+		if _, err := proto.Marshal(e); err != nil {
+			l.Log.At(events.PeerMessageInvalid).Str("Peer", l.Peer.Name).Str("Service", e.GetService()).Err(err).Send()
+			l.Metrics.PeerMessages.WithLabelValues("Invalid").Inc()
+			l.reportLost(e)
+			l.batch[l.encodable+i] = &wire.Envelope{}
+		}
+	}
+	l.encodable = len(l.batch)
+}
+
 // blankAtMostOnce replaces the messages of the batch that may be sent at most once
 // by empty envelopes, which no service accepts. This preserves the sequence numbers
 // of the other messages.
@@ -270,6 +289,7 @@
 // advance removes the first n messages from the batch.
 func (l *Link) advance(n int) {
 	l.firstSeq += uint64(n)
+	l.encodable = max(0, l.encodable-n)
 	l.batch = append([]*wire.Envelope(nil), l.batch[n:]...)
 }
 
