Keep jobs queued in TestCancel whatever the load

Cause: the tasks of the wave take 1 s. When both sides of the cut took longer than that to notice it, every queued job had started before the cancel was sent, and the test failed for want of queued jobs ("28 running and 0 queued jobs were cancelled").

Change: when fewer than 20 jobs of the reachable data centres are queued, the test submits another wave there before it cancels. What it checks is unchanged, and holds for these jobs too.

--- a/proof/cancel_test.go
+++ b/proof/cancel_test.go
@@ -29,6 +29,9 @@
 
 	partitioned := s.submitWave("cut", sessions)
 	heal := partitionDataCentre(s)
+	for n := 0; s.queued(withoutSession(partitioned, sessions[2])) < minQueued; n++ {
+		partitioned = append(partitioned, s.submitWaveAs(fmt.Sprintf("cut%d-", n), "cut", sessions[:2])...)
+	}
 	n, refusal, err := s.client().cancel(entry, &wire.Cancel{Customer: "chime", Group: "cut"})
 	if n == 0 || refusal.GetCode() != "OutcomeUnknown" || refusal.NotRun || err != nil {
 		t.Errorf("cancel of a group with jobs on both sides of a partition: %d jobs, %v, %v", n, refusal, err)
@@ -82,19 +85,45 @@
 	s.checkNotRun(r, a)
 }
 
+// minQueued is the number of jobs that must be queued when a wave is cancelled. Beside heavy load the
+// jobs of the wave before the partition have all been started when both sides notice it.
+const minQueued = 20
+
+// queued returns how many of the runs have neither been started nor answered.
+func (s *System) queued(runs []*jobRun) int {
+	s.t.Helper()
+	starts, n := s.counts().Starts, 0
+	for _, r := range runs {
+		select {
+		case <-r.done:
+		default:
+			if starts[r.Labels[0]] == 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // submitWave submits more jobs than there are slots, four of five in a group of that name, and waits
-// until all slots are in use.
+// until as many have started as there are slots.
 func (s *System) submitWave(name string, sessions []string) []*jobRun {
+	s.t.Helper()
+	return s.submitWaveAs(name, name, sessions)
+}
+
+// submitWaveAs does the same with a group of another name than the jobs.
+func (s *System) submitWaveAs(name, group string, sessions []string) []*jobRun {
 	s.t.Helper()
 	const jobs, slots = 90, 48 // jobs of one task each; slots of all backend servers
 	before := s.counts().Total
 	var runs []*jobRun
 	for i := range jobs {
-		group := name
+		g := group
 		if i%5 == 0 {
-			group = ""
+			g = ""
 		}
-		runs = append(runs, newGroupRun(fmt.Sprintf("%s%d", name, i), group, sessions[i%len(sessions)]))
+		runs = append(runs, newGroupRun(fmt.Sprintf("%s%d", name, i), g, sessions[i%len(sessions)]))
 	}
 	s.submitAll(0, runs)
 	s.awaitStarts(before + slots)
