Take the first routes after a restart from the core's leader

Cause: an entry host that restarts has no routes and asks all hosts of the core. One that is cut off from the others may answer first, with routes that were withdrawn since, and jobs on them were taken until the leader answered.

Change: for 2 s after its start a process without routes takes them only from the host that leads the core; after that from any, so that it serves while the core has no leader. An election takes less than half a second.

Ruled out: to trust hosts that follow a leader. Of a core of five, two that are cut off follow the old leader without knowing that three others have elected another one.

TestStoredServerMustAnswer holds what was so before: a server of a stored table is used only when it answers, and so not one that left meanwhile.

--- a/entry/service.go
+++ b/entry/service.go
@@ -32,6 +32,11 @@
 	// before it goes to another one: as long as the core waits after an election.
 	parkTimeout = 300 * time.Millisecond
 
+	// routesGrace is how long a process without routes takes them from the core's leader only. A
+	// partitioned host of the core may not know which routes were withdrawn since; an election
+	// takes less.
+	routesGrace = 2 * time.Second
+
 	// answerGrace is the time after a job's deadline in which the placer's own answer
 	// may still arrive.
 	answerGrace = 150 * time.Millisecond
@@ -103,6 +108,7 @@
 	leaveDeadline time.Time
 	nextPulse     time.Time
 	lastActive    time.Time // latest message or tick
+	startedAt     time.Time // of this process
 }
 
 // placerState is the state of a placer as its answers to pulses show it.
@@ -167,7 +173,8 @@
 	n.placers = map[string]*placerState{}
 	n.jobs = map[string]*openJob{}
 	n.withdrawals = map[string][]withdrawal{}
-	n.leaderContact = n.Now()
+	n.startedAt = n.Now()
+	n.leaderContact = n.startedAt
 	n.lastActive = n.leaderContact
 	n.lastPulse = uint64(uint32(n.Incarnation)) // answers to a previous process of this host have other numbers
 }
@@ -286,7 +293,7 @@
 		}
 		n.leader, n.leaderReached = m.Leader, true
 	}
-	n.applyRoutes(m.Routes)
+	n.applyRoutes(m.Routes, m.Leader == m.Host, now)
 	for _, p := range m.Placements {
 		n.setPlacement(p, now)
 	}
@@ -298,11 +305,16 @@
 	}
 }
 
-// applyRoutes puts newer routes in force.
-func (n *JobService) applyRoutes(text *model.RoutesText) {
+// applyRoutes puts newer routes in force. Those of a host of the core that doesn't lead may be older
+// than what this host had in force before it restarted, so a process without routes waits for
+// the leader's first.
+func (n *JobService) applyRoutes(text *model.RoutesText, leads bool, now time.Time) {
 	if text == nil || (n.routeTable != nil && text.Version <= n.routeTable.Document.Version) {
 		return
 	}
+	if n.routeTable == nil && !leads && now.Sub(n.startedAt) < routesGrace {
+		return
+	}
 	d, err := n.Parse(text.Source)
 	if err != nil {
 		n.Hooks.RoutesRejected(text.Version, err)
--- a/placer/odd_test.go
+++ b/placer/odd_test.go
@@ -58,3 +58,30 @@
 		})
 	}
 }
+
+// TestStoredServerMustAnswer guards against using a server that left after its table was stored, when all
+// hosts that knew of that have restarted.
+func TestStoredServerMustAnswer(t *testing.T) {
+	tests := map[string]struct {
+		outcome runs.Outcome
+		used    int
+	}{
+		"it answers":              {outcome: runs.OutcomeTaken, used: 1},
+		"nothing answers":         {outcome: runs.OutcomeUnknown},
+		"another process answers": {outcome: runs.OutcomeGone},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.addStoredServers(model.ServerTable{DataCentre: "dc", Epoch: f.placement.Former, Servers: []model.Server{testServer}}, f.now)
+			for _, l := range f.placer.Drain(f.now).Polls {
+				f.placer.Polled(runs.PollResult{Server: l.Server.Name, Born: 1, Seq: l.Seq, Fence: l.Fence, Outcome: tt.outcome, Clock: 1, Sent: f.now}, f.now)
+			}
+			f.now = f.now.Add(runs.ReplicationTime - tickInterval)
+			f.markReplicated(f.now)
+			if used := f.usableServers(); used != tt.used {
+				t.Fatalf("%d servers usable, want %d", used, tt.used)
+			}
+		})
+	}
+}
