Keep a server in its place until a new placer has polled it

Cause: a new placer knows nothing yet of what runs on a server that it has taken over with the table. A report with another address moved such a server, since no runs were recorded, and what ran there started elsewhere.

Change: a server of an earlier placer's table doesn't move before it has answered a poll.

Tests: the simulated world has another writer, who reports servers that exist at addresses where another process or nothing answers, in part with a later start, and servers that don't exist; and placers that are paused for up to 10 s after they were superseded.

--- a/runs/server.go
+++ b/runs/server.go
@@ -214,9 +214,9 @@
 }
 
 // Report processes a report that a server sent about itself. It returns false if the report
-// doesn't count: a server on which runs are recorded doesn't move, because an answer from
-// the new address would say nothing about them. A server that has restarted elsewhere
-// reports again when the leases of its runs have expired.
+// doesn't count: a server on which runs are recorded, or may be found, doesn't move, because
+// an answer from the new address would say nothing about them. A server that has restarted
+// elsewhere reports again when the leases of its runs have expired.
 func (p *Placer) Report(m model.Server, now time.Time) bool {
 	p.noteInput(now)
 	s, ok := p.servers[m.Name]
@@ -232,7 +232,7 @@
 		return true
 	case !m.Newer(s.Server):
 		return true
-	case m.Address != s.Address && len(s.runs) > 0:
+	case m.Address != s.Address && (len(s.runs) > 0 || s.inherited && !s.polled):
 		return false
 	case m.Address != s.Address:
 		p.removeServer(s, "reported another address")
--- a/runs/world_placer_test.go
+++ b/runs/world_placer_test.go
@@ -131,12 +131,12 @@
 func (sp *simPlacer) carryOut() {
 	out := sp.p.Drain(sp.w.now)
 	for _, o := range out.Starts {
-		sp.order(o.Server.Name, o.Fence, &o.Deadline, func(s *simServer) Outcome { return s.start(o) }, func(a Outcome, clock int64) {
+		sp.order(o.Server, o.Fence, &o.Deadline, func(s *simServer) Outcome { return s.start(o) }, func(a Outcome, clock int64) {
 			sp.p.Started(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: a, Clock: clock}, sp.w.now)
 		})
 	}
 	for _, o := range out.Stops {
-		sp.order(o.Server.Name, o.Fence, new(int64), func(s *simServer) Outcome { return s.stop(o) }, func(a Outcome, clock int64) {
+		sp.order(o.Server, o.Fence, new(int64), func(s *simServer) Outcome { return s.stop(o) }, func(a Outcome, clock int64) {
 			sp.p.Stopped(Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: a, Clock: clock}, sp.w.now)
 		})
 	}
@@ -156,12 +156,14 @@
 }
 
 // order sends an order. The order or its answer may be lost, or the order carried out late.
-func (sp *simPlacer) order(name string, fence uint64, deadline *int64, carryOut func(*simServer) Outcome, answer func(Outcome, int64)) {
+func (sp *simPlacer) order(to model.Server, fence uint64, deadline *int64, carryOut func(*simServer) Outcome, answer func(Outcome, int64)) {
 	w := sp.w
 	unanswered := func() { w.after(60*time.Millisecond, func() { sp.do(func() { answer(OutcomeUnknown, 0) }) }) }
-	s := w.servers[name]
+	s, other := w.reached(to)
 	switch {
-	case s.cut || w.chance(w.faults.lost):
+	case other:
+		w.after(w.delay(), func() { sp.do(func() { answer(OutcomeGone, 0) }) })
+	case s == nil || s.cut || w.chance(w.faults.lost):
 		unanswered()
 	case w.chance(w.faults.late):
 		s.late(fence, deadline, func() { carryOut(s) })
@@ -182,7 +184,7 @@
 func (sp *simPlacer) poll(o Poll) {
 	w := sp.w
 	sent := w.now
-	s := w.servers[o.Server.Name]
+	s, other := w.reached(o.Server)
 	answered := false
 	reply := func(m PollResult) {
 		if !answered {
@@ -192,7 +194,11 @@
 	}
 	unknown := PollResult{Server: o.Server.Name, Seq: o.Seq, Fence: o.Fence, Outcome: OutcomeUnknown}
 	w.after(o.Wait+60*time.Millisecond, func() { reply(unknown) })
-	if s.cut || w.chance(w.faults.lost) {
+	if other {
+		w.after(w.delay(), func() { reply(PollResult{Server: o.Server.Name, Seq: o.Seq, Fence: o.Fence, Outcome: OutcomeGone}) })
+		return
+	}
+	if s == nil || s.cut || w.chance(w.faults.lost) {
 		return
 	}
 	if w.chance(w.faults.late) {
--- a/runs/world_run_test.go
+++ b/runs/world_run_test.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -66,7 +67,7 @@
 		if stopped {
 			old.dead = true
 		} else {
-			w.after(time.Duration(w.rng.IntN(3000))*time.Millisecond, old.resume)
+			w.after(time.Duration(w.rng.IntN(int(cmp.Or(w.faults.pause, 3*time.Second).Milliseconds())))*time.Millisecond, old.resume)
 		}
 		epoch++
 		if f.noTable && w.chance(0.7) {
@@ -86,6 +87,9 @@
 		w.after(at+minSilence+time.Duration(w.rng.IntN(900))*time.Millisecond, supersede)
 	}
 	w.disturbServers()
+	if f.odd {
+		w.after(oddInterval, w.reportOddly)
+	}
 	w.run(simulatedTime)
 	return w, jobs
 }
@@ -141,6 +145,9 @@
 		"restarts":      {faults: faults{restart: true}, share: 0.8},
 		"no tables":     {faults: faults{noTable: true, lost: 0.01}, share: 0.5},
 		"all together":  {faults: faults{lost: 0.03, late: 0.03, fail: 0.03, cut: true, restart: true}, share: 0.5},
+		"long pauses":   {faults: faults{pause: 10 * time.Second, lost: 0.02, restart: true}, share: 0.6},
+		"odd reports":   {faults: faults{odd: true}, share: 0.7},
+		"odd, together": {faults: faults{odd: true, lost: 0.03, late: 0.03, cut: true, noTable: true}, share: 0.4},
 		"late restarts": {faults: faults{late: 0.05, slow: 0.03, flap: true}, share: 0.6, seeds: []uint64{471, 543}},
 	})
 }
--- a/runs/world_test.go
+++ b/runs/world_test.go
@@ -32,16 +32,18 @@
 
 // faults states which faults occur and how likely they are.
 type faults struct {
-	lost      float64 // an order or its answer
-	late      float64 // an order is carried out seconds later, without an answer
-	lateLease bool    // the lease of such an order counts from its arrival
-	fail      float64 // a task fails
-	cut       bool    // servers are cut off for seconds
-	restart   bool    // servers restart under the same name
-	flap      bool    // each server restarts every few seconds and reports immediately
-	slow      float64 // the tasks of a job take seconds
-	resend    float64 // a caller loses its connection and resends its job, half of them to the other data centre
-	noTable   bool    // placers begin without the table of the previous one
+	lost      float64       // an order or its answer
+	late      float64       // an order is carried out seconds later, without an answer
+	lateLease bool          // the lease of such an order counts from its arrival
+	fail      float64       // a task fails
+	cut       bool          // servers are cut off for seconds
+	restart   bool          // servers restart under the same name
+	flap      bool          // each server restarts every few seconds and reports immediately
+	slow      float64       // the tasks of a job take seconds
+	resend    float64       // a caller loses its connection and resends its job, half of them to the other data centre
+	noTable   bool          // placers begin without the table of the previous one
+	odd       bool          // another writer reports servers at addresses where they aren't, and servers that don't exist
+	pause     time.Duration // longest time for which a superseded placer goes on being paused, 3 s if 0
 }
 
 type simEvent struct {
@@ -163,6 +165,45 @@
 	}
 }
 
+const (
+	oddAddress  = "odd"  // at which another process answers
+	darkAddress = "dark" // at which nothing answers
+	oddInterval = 300 * time.Millisecond
+)
+
+// reportOddly reports a server, which may not exist, at an address where it isn't.
+func (w *world) reportOddly() {
+	names := slices.Sorted(maps.Keys(w.servers))
+	report := w.servers[names[w.rng.IntN(len(names))]].report
+	report.Seq++
+	report.Address = []string{oddAddress, darkAddress}[w.rng.IntN(2)]
+	switch w.rng.IntN(4) {
+	case 0:
+		report.Name = "x" + report.Name
+	case 1:
+		report.Born++
+	}
+	for _, sp := range w.placers {
+		if sp.dc == report.DataCentre {
+			sp.do(func() { sp.p.Report(report, w.now) })
+		}
+	}
+	w.after(oddInterval, w.reportOddly)
+}
+
+// reached returns the server that answers at the address of a report, nil if none does, and
+// whether another process answers there.
+func (w *world) reached(m model.Server) (s *simServer, other bool) {
+	switch m.Address {
+	case oddAddress:
+		return nil, true
+	case darkAddress:
+		return nil, false
+	default:
+		return w.servers[m.Name], false
+	}
+}
+
 // reportRetry is the interval at which a server that is cut off tries to report.
 const reportRetry = 100 * time.Millisecond
 
