Send the table of servers to hosts once, and to some of them at a time

After all processes had been killed nothing was served any more: the placers opened 221 connections a second to servers, whose polls timed out, and sent 1.7 MB/s. A placer answers each pulse with all changes of its table that the host hasn't confirmed, five times a second, and with each tick while the table changes. For 60 hosts and 600 servers that is up to 180,000 entries a second, 21 MB, over a link of at most 62 Mbit/s; nothing is confirmed while the link is full, so it stays full.

Change: changes on their way to a host aren't sent again before 0.6 s have passed without a confirmation, doubling to 4 s; while about a megabyte is on its way to hosts that haven't confirmed it, others wait for theirs. A host that waits isn't told a version. A candidate is looked up by the server that answered, not in a scan of all for each answer.

--- a/placer/odd_test.go
+++ b/placer/odd_test.go
@@ -16,7 +16,7 @@
 	}
 	answer := func(f *fixture, o runs.Outcome) {
 		for _, l := range f.placer.Drain(f.now).Polls {
-			f.handleResult(callResult{epoch: testEpoch, sentAt: f.now, apply: func(p *runs.Placer, now time.Time) {
+			f.handleResult(callResult{epoch: testEpoch, server: l.Server.Name, sentAt: f.now, apply: func(p *runs.Placer, now time.Time) {
 				p.Polled(runs.PollResult{Server: l.Server.Name, Seq: l.Seq, Fence: l.Fence, Outcome: o, Sent: now}, now)
 			}}, f.now)
 		}
--- a/placer/orders.go
+++ b/placer/orders.go
@@ -11,6 +11,7 @@
 // callResult is the answer to an order of the placer of an epoch.
 type callResult struct {
 	epoch  uint64
+	server string
 	sentAt time.Time
 	wait   time.Duration // for which the server may hold back its answer to a poll
 	apply  func(p *runs.Placer, now time.Time)
@@ -22,7 +23,7 @@
 	}
 	if n.placer != nil && n.placer.Epoch() == m.epoch {
 		m.apply(n.placer, now)
-		n.addVerified(now)
+		n.addVerified(m.server, now)
 	}
 }
 
@@ -34,15 +35,15 @@
 	out := n.placer.Drain(now)
 	for _, o := range out.Starts {
 		unknown := runs.Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: runs.OutcomeUnknown}
-		call(n, 0, func(ctx context.Context) runs.Answer { return n.Calls.Start(ctx, o) }, unknown, (*runs.Placer).Started)
+		call(n, o.Server.Name, 0, func(ctx context.Context) runs.Answer { return n.Calls.Start(ctx, o) }, unknown, (*runs.Placer).Started)
 	}
 	for _, o := range out.Stops {
 		unknown := runs.Answer{Server: o.Server.Name, Task: o.Task, Run: o.Run, Fence: o.Fence, Outcome: runs.OutcomeUnknown}
-		call(n, 0, func(ctx context.Context) runs.Answer { return n.Calls.Stop(ctx, o) }, unknown, (*runs.Placer).Stopped)
+		call(n, o.Server.Name, 0, func(ctx context.Context) runs.Answer { return n.Calls.Stop(ctx, o) }, unknown, (*runs.Placer).Stopped)
 	}
 	for _, o := range out.Polls {
 		unknown := runs.PollResult{Server: o.Server.Name, Seq: o.Seq, Fence: o.Fence, Outcome: runs.OutcomeUnknown}
-		call(n, o.Wait, func(ctx context.Context) runs.PollResult { return n.Calls.Poll(ctx, o) }, unknown, (*runs.Placer).Polled)
+		call(n, o.Server.Name, o.Wait, func(ctx context.Context) runs.PollResult { return n.Calls.Poll(ctx, o) }, unknown, (*runs.Placer).Polled)
 	}
 	for _, e := range out.Events {
 		n.Hooks.RunEvent(n.placer.Epoch(), e)
@@ -61,14 +62,14 @@
 	}
 }
 
-// call makes a call in a child task and passes its answer to the placer that ordered it, or
+// call makes a call to a server in a child task and passes its answer to the placer that ordered it, or
 // unknown if the call panics. The server may hold back its answer for wait, which extends
 // the timeout.
-func call[A any](n *PlacingService, wait time.Duration, do func(ctx context.Context) A, unknown A, process func(p *runs.Placer, a A, now time.Time)) {
+func call[A any](n *PlacingService, server string, wait time.Duration, do func(ctx context.Context) A, unknown A, process func(p *runs.Placer, a A, now time.Time)) {
 	epoch, sent := n.placer.Epoch(), n.task.Env.Now()
 	timeout := wait + n.latency.timeout()
 	result := func(a A) any {
-		return callResult{epoch: epoch, sentAt: sent, wait: wait, apply: func(p *runs.Placer, now time.Time) { process(p, a, now) }}
+		return callResult{epoch: epoch, server: server, sentAt: sent, wait: wait, apply: func(p *runs.Placer, now time.Time) { process(p, a, now) }}
 	}
 	n.task.Call(func(ctx context.Context) any {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/placer/process.go
+++ b/placer/process.go
@@ -45,7 +45,7 @@
 func (n *PlacingService) dropPreviousProcess(name string, p *process, now time.Time) {
 	p.currentSince = now
 	if r, ok := n.replicas[name]; ok {
-		r.confirmed, r.lastPulse = 0, 0
+		*r = tableReplica{sentAt: r.sentAt}
 	}
 	if h, ok := n.hosts[name]; ok {
 		h.timeoutFrom, h.confirmedAt = now, time.Time{}
--- a/placer/replicate_test.go
+++ b/placer/replicate_test.go
@@ -32,7 +32,7 @@
 // answerPolls has all servers answer their polls, as the service of the placer does.
 func (f *fixture) answerPolls() {
 	for _, l := range f.placer.Drain(f.now).Polls {
-		f.handleResult(callResult{epoch: f.placer.Epoch(), sentAt: f.now, apply: func(p *runs.Placer, now time.Time) {
+		f.handleResult(callResult{epoch: f.placer.Epoch(), server: l.Server.Name, sentAt: f.now, apply: func(p *runs.Placer, now time.Time) {
 			p.Polled(runs.PollResult{Server: l.Server.Name, Born: 1, Seq: l.Seq, Outcome: runs.OutcomeTaken, Clock: 1, Sent: now}, now)
 		}}, f.now)
 	}
--- a/placer/service.go
+++ b/placer/service.go
@@ -264,7 +264,6 @@
 			n.sendPulsed(name, h, now)
 		}
 	}
-	n.addVerified(now)
 	n.replicateTable(now)
 	n.markReplicated(now)
 	n.placer.Tick(now)
@@ -410,17 +409,17 @@
 	return ReportResult{Accepted: true}
 }
 
-// addVerified moves the candidates that have been verified to the table, and drops those that
-// the placer has given up.
-func (n *PlacingService) addVerified(now time.Time) {
-	for name, s := range n.candidates {
-		switch {
-		case n.placer == nil || !n.placer.HasServer(name):
-			delete(n.candidates, name)
-		case n.placer.Verified(name):
-			delete(n.candidates, name)
-			n.setServer(s, now)
-		}
+// addVerified moves a candidate to the table if it has been verified, or drops it if the placer
+// has given it up.
+func (n *PlacingService) addVerified(name string, now time.Time) {
+	s, ok := n.candidates[name]
+	switch {
+	case !ok:
+	case n.placer == nil || !n.placer.HasServer(name):
+		delete(n.candidates, name)
+	case n.placer.Verified(name):
+		delete(n.candidates, name)
+		n.setServer(s, now)
 	}
 }
 
--- a/placer/table.go
+++ b/placer/table.go
@@ -21,10 +21,55 @@
 // tableReplica is the copy of the table on another host of the data centre that
 // received it under this epoch. That host may place next even if it is silent now.
 type tableReplica struct {
-	confirmed uint64    // version that the host has confirmed, 0 for none
-	sent      uint64    // version last sent to the host
-	sentAt    time.Time // when it was sent
-	lastPulse uint64    // number of the host's latest pulse
+	confirmed   uint64        // version that the host has confirmed, 0 for none
+	sent        uint64        // version last sent to the host
+	sentAt      time.Time     // when it was sent
+	inFlight    int           // changes that were sent and aren't confirmed
+	resendAt    time.Time     // when these count as lost
+	resendAfter time.Duration // from the latest resend until resendAt
+	lastPulse   uint64        // number of the host's latest pulse
+}
+
+const (
+	// maxChangesInFlight is the number of changes of the table on their way to all hosts
+	// together above which further hosts wait: about a megabyte, which a link of 19 Mbit/s
+	// carries before calls between hosts time out.
+	maxChangesInFlight = 8192
+
+	minResendAfter = 600 * time.Millisecond // longer than a call between hosts; doubles with each resend
+	maxResendAfter = 4 * time.Second
+)
+
+// confirm records the version that the host has.
+func (r *tableReplica) confirm(version uint64, now time.Time) {
+	if version > r.confirmed {
+		r.resendAfter, r.resendAt = 0, now.Add(minResendAfter)
+	}
+	if r.confirmed = version; version >= r.sent {
+		r.inFlight = 0
+	}
+}
+
+// since returns the version after which changes have to be sent: changes on their way are not
+// sent again before resendAt.
+func (r *tableReplica) since(now time.Time) uint64 {
+	if r.sent > r.confirmed && now.Before(r.resendAt) {
+		return r.sent
+	}
+	return r.confirmed
+}
+
+// recordSent records that the changes after a version were sent, up to the present one.
+func (r *tableReplica) recordSent(since, version uint64, changes int, now time.Time) {
+	if since == r.confirmed && changes > 0 {
+		if r.sent > r.confirmed {
+			r.resendAfter *= 2
+		}
+		r.resendAfter = min(max(r.resendAfter, minResendAfter), maxResendAfter)
+		r.inFlight, r.resendAt = 0, now.Add(r.resendAfter)
+	}
+	r.inFlight += changes
+	r.sent, r.sentAt = version, now
 }
 
 // leftRetention is how long a server that has left stays in the list of changes, for
@@ -55,9 +100,11 @@
 	h.local = m.DataCentre == n.DataCentre
 	if h.local {
 		r := n.replica(m.Host)
-		r.confirmed, r.lastPulse = 0, m.Number
+		r.lastPulse = m.Number
 		if m.Epoch == n.placer.Epoch() {
-			r.confirmed = m.Servers
+			r.confirm(m.Servers, now)
+		} else {
+			r.confirm(0, now)
 		}
 	}
 	n.placer.WithdrawBefore(m.Host, m.Oldest, now)
@@ -118,13 +165,46 @@
 // without waiting for their pulses.
 func (n *PlacingService) replicateTable(now time.Time) {
 	for name, h := range n.hosts {
-		if h.local && name != n.Self && n.replica(name).sent != n.tableVersion {
+		if !h.local || name == n.Self || n.replica(name).sent == n.tableVersion {
+			continue
+		}
+		if n.mayTransfer(n.replica(name), now) {
 			n.sendPulsed(name, h, now)
 		}
 	}
 }
 
-// sendPulsed sends a host the changes since the version that it has confirmed, and a
+// mayTransfer reports whether changes may be sent to a host now: not too many are on their way to
+// other hosts.
+func (n *PlacingService) mayTransfer(r *tableReplica, now time.Time) bool {
+	inFlight := 0
+	for _, other := range n.replicas {
+		if other != r && now.Before(other.resendAt) {
+			inFlight += other.inFlight
+		}
+	}
+	return inFlight < maxChangesInFlight
+}
+
+// changesFor returns the changes to send to a host, and the version that they follow. It returns
+// false if they have to wait.
+func (n *PlacingService) changesFor(r *tableReplica, now time.Time) (list []model.Server, since uint64, ok bool) {
+	since = r.since(now)
+	if since == n.tableVersion {
+		return nil, since, true
+	}
+	if !n.mayTransfer(r, now) {
+		return nil, since, false
+	}
+	for _, c := range n.changes {
+		if c.version > since {
+			list = append(list, c.server)
+		}
+	}
+	return list, since, true
+}
+
+// sendPulsed sends a host the changes of the table that it lacks, unless they have to wait, and a
 // stamp that its next pulse returns.
 func (n *PlacingService) sendPulsed(name string, h *host, now time.Time) {
 	reply := msgs.Pulsed{
@@ -135,12 +215,9 @@
 	}
 	if h.local {
 		r := n.replica(name)
-		r.sent, r.sentAt = n.tableVersion, now
-		reply.Servers, reply.Since, reply.Answers = n.tableVersion, r.confirmed, r.lastPulse
-		for _, c := range n.changes {
-			if c.version > r.confirmed {
-				reply.Table = append(reply.Table, c.server)
-			}
+		if list, since, ok := n.changesFor(r, now); ok {
+			r.recordSent(since, n.tableVersion, len(list), now)
+			reply.Table, reply.Servers, reply.Since, reply.Answers = list, n.tableVersion, since, r.lastPulse
 		}
 	}
 	_ = n.Send(name, msgs.ServiceEntry, reply) // the host will pulse again
@@ -219,6 +296,7 @@
 			n.setServer(model.Server{Name: name, Left: true}, now)
 		}
 	}
+	maps.DeleteFunc(n.candidates, func(name string, _ model.Server) bool { return !n.placer.HasServer(name) })
 }
 
 // setServer adds or updates a server in the table, or removes one that has left.
--- a/placer/table_test.go
+++ b/placer/table_test.go
@@ -68,7 +68,9 @@
 	for _, l := range f.previous.placer.Drain(f.now).Polls {
 		f.previous.placer.Polled(runs.PollResult{Server: l.Server.Name, Born: 1, Seq: l.Seq, Outcome: runs.OutcomeTaken, Clock: 1, Sent: f.now}, f.now)
 	}
-	f.previous.addVerified(f.now)
+	for _, name := range []string{"s1", "s2"} {
+		f.previous.addVerified(name, f.now)
+	}
 	return f
 }
 
