Name the pool of calls, eligible servers and limits once

Cause: reading the changes as a newcomer: the kernel's pool had the platform's word for backend servers, "candidates" were servers of a dispatch in runs and unverified servers in placer, and the upper limits of resources and JSON numbers stood in model and in platform.

No change of behaviour.

--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -73,7 +73,7 @@
 		stopping: make(chan struct{}),
 		ended:    make(chan struct{}),
 	}
-	t.workers.children = &t.children
+	t.pool.children = &t.children
 	k.tasks[s.Name] = t
 	return t, nil
 }
--- a/kernel/pool.go
+++ b/kernel/pool.go
@@ -2,12 +2,12 @@
 
 import "sync"
 
-// maxIdleWorkers is the number of goroutines that a task keeps for further calls.
-const maxIdleWorkers = 64
+// maxIdle is the number of goroutines that a task keeps for further calls.
+const maxIdle = 64
 
-// workers runs the calls of one task in goroutines that are kept for further calls: a new
+// pool runs the calls of one task in goroutines that are kept for further calls: a new
 // goroutine starts with a small stack, which a call has to grow several times.
-type workers struct {
+type pool struct {
 	children *sync.WaitGroup
 
 	mu     sync.Mutex
@@ -16,26 +16,26 @@
 }
 
 // run runs f in a goroutine.
-func (w *workers) run(f func()) {
-	w.mu.Lock()
-	n := len(w.idle)
+func (p *pool) run(f func()) {
+	p.mu.Lock()
+	n := len(p.idle)
 	if n == 0 {
-		w.mu.Unlock()
-		w.children.Go(func() { w.work(f) })
+		p.mu.Unlock()
+		p.children.Go(func() { p.work(f) })
 		return
 	}
-	next := w.idle[n-1]
-	w.idle = w.idle[:n-1]
-	w.mu.Unlock()
+	next := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	p.mu.Unlock()
 	next <- f
 }
 
 // work runs f and what the goroutine is given afterwards, until no more is needed.
-func (w *workers) work(f func()) {
+func (p *pool) work(f func()) {
 	next := make(chan func(), 1)
 	for {
 		f()
-		if !w.wait(next) {
+		if !p.wait(next) {
 			return
 		}
 		more, ok := <-next
@@ -47,23 +47,23 @@
 }
 
 // wait adds a goroutine to the idle ones, unless there are enough or the task ends.
-func (w *workers) wait(next chan func()) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.closed || len(w.idle) >= maxIdleWorkers {
+func (p *pool) wait(next chan func()) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle) >= maxIdle {
 		return false
 	}
-	w.idle = append(w.idle, next)
+	p.idle = append(p.idle, next)
 	return true
 }
 
 // close ends the goroutines that wait, and lets the others end after their calls.
-func (w *workers) close() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.closed = true
-	for _, next := range w.idle {
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, next := range p.idle {
 		close(next)
 	}
-	w.idle = nil
+	p.idle = nil
 }
--- a/kernel/service.go
+++ b/kernel/service.go
@@ -32,7 +32,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	children sync.WaitGroup
-	workers  workers // run the calls
+	pool     pool // of the goroutines that run the calls
 	stopping chan struct{}
 	ended    chan struct{}
 	panics   int
@@ -84,11 +84,11 @@
 }
 
 // Call runs call in a child, where it may block on a socket and must return soon after its
-// context ends, and sends its result to this service. If call
-// panics, the panic is reported and the service gets the result of failed instead, so that
-// an answer that nothing foresaw ends neither the process nor leaves the service waiting.
+// context ends, and sends its result to this service. If call panics, the panic is reported
+// and the service gets the result of failed instead: an answer that nothing foresaw doesn't
+// end the process, and the service doesn't wait for ever.
 func (t *Task) Call(call func(ctx context.Context) any, failed func(err error) any) {
-	t.workers.run(func() { t.Self.Reply(t.protect(t.ctx, call, failed)) })
+	t.pool.run(func() { t.Self.Reply(t.protect(t.ctx, call, failed)) })
 }
 
 func (t *Task) protect(ctx context.Context, call func(ctx context.Context) any, failed func(err error) any) (result any) {
--- a/kernel/task.go
+++ b/kernel/task.go
@@ -179,6 +179,6 @@
 		t.service.Stop(t)
 	}
 	t.cancel()
-	t.workers.close()
+	t.pool.close()
 	t.children.Wait()
 }
--- a/model/server.go
+++ b/model/server.go
@@ -41,17 +41,23 @@
 	return s.Seq > other.Seq
 }
 
-// The ranges of a server's report. They are far above any real server, so that what is outside them
-// comes from a faulty writer, and far enough from the limits of an int64 for sums over a table.
+// Upper limits of what a server has and a task asks for. They are far above any real server, so that
+// what is beyond them comes from a faulty writer, and sums over a table stay within an int64.
 const (
-	maxName         = 255             // bytes of a name or label
-	maxLabels       = 64              // per server
-	maxCPU          = 1_000_000_000   // thousandths of a core, a million cores
-	maxMemory       = 1 << 30         // MB, a petabyte
-	maxAccelerators = 1_000_000       // per server
-	maxSeq          = 1 << 53         // largest number that every JSON reader keeps exactly
-	minBorn         = 946_684_800_000 // Unix milliseconds, the year 2000
-	maxBorn         = 4_102_444_800_000
+	MaxCPU          = 1_000_000_000 // thousandths of a core, a million cores
+	MaxMemoryMB     = 1 << 30       // a petabyte
+	MaxAccelerators = 1_000_000
+)
+
+// MaxNumber is the largest whole number that every JSON reader keeps exactly.
+const MaxNumber = 1 << 53
+
+const (
+	maxName   = 255 // bytes of a name or label
+	maxLabels = 64  // per server
+
+	minBorn = 946_684_800_000   // Unix milliseconds, the year 2000
+	maxBorn = 4_102_444_800_000 // Unix milliseconds, the year 2100
 )
 
 // ServerError reports a field of a server's report that names no server to use.
@@ -105,8 +111,8 @@
 	switch {
 	case s.Born != 0 && (s.Born < minBorn || s.Born > maxBorn):
 		return "Born", fmt.Sprintf("is %d, not a time from 2000 to 2100 in Unix milliseconds", s.Born)
-	case s.Seq > maxSeq:
-		return "Seq", fmt.Sprintf("is %d, above %d", s.Seq, uint64(maxSeq))
+	case s.Seq > MaxNumber:
+		return "Seq", fmt.Sprintf("is %d, above %d", s.Seq, uint64(MaxNumber))
 	}
 	return "", ""
 }
@@ -114,12 +120,12 @@
 // checkCapacity does the same for the resources.
 func (s Server) checkCapacity() (field, reason string) {
 	switch {
-	case s.CPU < 1 || s.CPU > maxCPU:
-		return "CPU", fmt.Sprintf("is %d, not 1 to %d", s.CPU, maxCPU)
-	case s.MemoryMB < 1 || s.MemoryMB > maxMemory:
-		return "MemoryMB", fmt.Sprintf("is %d, not 1 to %d", s.MemoryMB, maxMemory)
-	case s.Accelerators < 0 || s.Accelerators > maxAccelerators:
-		return "Accelerators", fmt.Sprintf("is %d, not 0 to %d", s.Accelerators, maxAccelerators)
+	case s.CPU < 1 || s.CPU > MaxCPU:
+		return "CPU", fmt.Sprintf("is %d, not 1 to %d", s.CPU, MaxCPU)
+	case s.MemoryMB < 1 || s.MemoryMB > MaxMemoryMB:
+		return "MemoryMB", fmt.Sprintf("is %d, not 1 to %d", s.MemoryMB, MaxMemoryMB)
+	case s.Accelerators < 0 || s.Accelerators > MaxAccelerators:
+		return "Accelerators", fmt.Sprintf("is %d, not 0 to %d", s.Accelerators, MaxAccelerators)
 	}
 	return "", ""
 }
--- a/model/server_test.go
+++ b/model/server_test.go
@@ -15,8 +15,10 @@
 		change func(s *Server)
 		field  string // empty if the server is valid
 	}{
-		"valid":                 {change: func(*Server) {}},
-		"largest of everything": {change: func(s *Server) { s.CPU, s.MemoryMB, s.Accelerators, s.Seq = maxCPU, maxMemory, maxAccelerators, maxSeq }},
+		"valid": {change: func(*Server) {}},
+		"largest of everything": {change: func(s *Server) {
+			s.CPU, s.MemoryMB, s.Accelerators, s.Seq = MaxCPU, MaxMemoryMB, MaxAccelerators, MaxNumber
+		}},
 		"IPv6":                  {change: func(s *Server) { s.Address = "[fd00::1]:8080" }},
 		"left":                  {change: func(s *Server) { *s = Server{Name: s.Name, Left: true} }},
 		"left without a name":   {change: func(s *Server) { *s = Server{Left: true} }, field: "Name"},
--- a/runs/queue.go
+++ b/runs/queue.go
@@ -58,7 +58,7 @@
 	if len(p.waiting) == 0 || !p.tryResume(now) {
 		return
 	}
-	p.noRoomCPU, p.candidates = map[string]int64{}, map[string]*candidates{}
+	p.noRoomCPU, p.eligible = map[string]int64{}, map[string]*eligible{}
 	var late []*job
 	for _, j := range p.waiting {
 		if j.late(now) {
@@ -132,21 +132,21 @@
 	expected time.Duration
 }
 
-// candidates are the servers of a service that may get a task in one dispatch.
-type candidates struct {
+// eligible are the servers of a service that may get a task in one dispatch.
+type eligible struct {
 	servers []*server
 	fastest float64 // least ratio of measured to declared run times among them
 }
 
-// candidatesOf returns the candidates of a service. Of what makes a server usable, only the
+// eligibleFor returns the eligible servers of a service. Of what makes a server usable, only the
 // number of its runs changes during a dispatch.
-func (p *Placer) candidatesOf(service string, now time.Time) *candidates {
-	c, ok := p.candidates[service]
+func (p *Placer) eligibleFor(service string, now time.Time) *eligible {
+	c, ok := p.eligible[service]
 	if ok {
 		return c
 	}
-	c = &candidates{}
-	p.candidates[service] = c
+	c = &eligible{}
+	p.eligible[service] = c
 	for _, s := range p.order {
 		if s.Service != service || !s.usable(now) {
 			continue
@@ -163,7 +163,7 @@
 // whether it has room or not.
 func (p *Placer) options(t *task, now time.Time) (first option, fastest time.Duration) {
 	d := t.job.Demand
-	c := p.candidatesOf(t.job.Service, now)
+	c := p.eligibleFor(t.job.Service, now)
 	anywhere := d.Label == "" && d.PerServer == 0
 	if anywhere && len(c.servers) > 0 {
 		fastest = runTime(d.Expected, c.fastest)
@@ -204,7 +204,7 @@
 	}
 }
 
-// takes reports whether a candidate may get the task if it has room.
+// takes reports whether an eligible server may get the task if it has room.
 func (p *Placer) takes(s *server, t *task, now time.Time) bool {
 	return s.health.allows(len(s.runs), now) && p.allowed(t, s)
 }
--- a/runs/queue_test.go
+++ b/runs/queue_test.go
@@ -9,7 +9,7 @@
 	"dogwoodrock.example/dogwoodrock/model"
 )
 
-// scanOptions is options without the candidates that a dispatch keeps.
+// scanOptions is options without the eligible servers that a dispatch keeps.
 func scanOptions(p *Placer, t *task, now time.Time) (first option, fastest time.Duration) {
 	for _, s := range p.order {
 		if s.Service != t.job.Service || !s.usable(now) || !p.allowed(t, s) {
@@ -32,9 +32,9 @@
 	return first, fastest
 }
 
-// TestCandidates compares the server that is chosen for each of many tasks of one dispatch with that of a
+// TestEligible compares the server that is chosen for each of many tasks of one dispatch with that of a
 // scan of all servers, for random servers: of two services, unusable, full, slow, with a label.
-func TestCandidates(t *testing.T) {
+func TestEligible(t *testing.T) {
 	tests := map[string]model.Demand{
 		"any server":      {CPU: 4000, MemoryMB: 1, Expected: 100 * time.Millisecond},
 		"no run time":     {CPU: 1000, MemoryMB: 1},
@@ -49,7 +49,7 @@
 				p, now := randomServers(rng)
 				j := &job{Job: Job{ID: "j", Service: "svc", Demand: demand, Arrived: now, Objective: time.Second, Expires: time.Second}}
 				j.waiters = []waiter{p.waiterOf(Job{Host: "h1"})}
-				p.candidates = map[string]*candidates{}
+				p.eligible = map[string]*eligible{}
 				for i := range 30 {
 					tk := &task{job: j, name: fmt.Sprintf("j.0.0.%d", i)}
 					if rng.IntN(4) == 0 {
