--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -22,6 +22,9 @@
 	Controls       []string
 	Rec            *Record
 
+	// Hold tells whether an order to start a task is left unanswered, to be carried out later by CarryOut.
+	Hold func(b orderBody) bool
+
 	// OnBeatAck is called with the address that acknowledged a heartbeat, and the state that it told.
 	OnBeatAck func(from, state string)
 
@@ -29,6 +32,7 @@
 	born     time.Time
 	state    string
 	seq      uint64
+	cut      bool // from the core and from control
 	beatAddr string
 	fence    uint64
 	lease    int64 // on the worker's clock
@@ -41,6 +45,14 @@
 	stop     chan struct{}
 	kick     chan struct{} // a heartbeat is due at once
 	Starts   []StartSeen
+	Ends     []EndSeen
+}
+
+// EndSeen is a run that has ended on the worker.
+type EndSeen struct {
+	At   time.Time
+	Task string
+	Run  int
 }
 
 // StartSeen is a task that the worker began.
@@ -78,25 +90,70 @@
 
 // Start listens and begins to send heartbeats.
 func (w *Worker) Start() error {
+	w.born, w.state = time.Now(), "ready"
+	w.active, w.highest = map[string]*activeRun{}, map[string]int{}
+	w.changed, w.stop, w.kick = make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
+	if err := w.listen(); err != nil {
+		return err
+	}
+	go w.beats()
+	go w.watchLease()
+	return nil
+}
+
+func (w *Worker) listen() error {
 	l, err := net.Listen("tcp", w.Addr)
 	if err != nil {
 		return err
 	}
-	w.born, w.state = time.Now(), "ready"
-	w.active, w.highest = map[string]*activeRun{}, map[string]int{}
-	w.changed, w.stop, w.kick = make(chan struct{}), make(chan struct{}), make(chan struct{}, 1)
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /run-start", w.order(w.runStart))
+	mux.HandleFunc("POST /run-start", w.startOrHold)
 	mux.HandleFunc("POST /run-stop", w.order(w.runStop))
 	mux.HandleFunc("POST /hold", w.hold)
 	mux.HandleFunc("GET /health", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusOK) })
 	w.server = &http.Server{Handler: mux}
-	go func() { _ = w.server.Serve(l) }()
-	go w.beats()
-	go w.watchLease()
+	go func(server *http.Server) { _ = server.Serve(l) }(w.server)
 	return nil
 }
 
+// Cut cuts the worker off from the core and from control, or ends that.
+func (w *Worker) Cut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+}
+
+// Restart lets the worker crash and start again under its id. It holds and knows nothing of before, and its
+// counts start anew.
+func (w *Worker) Restart() error {
+	_ = w.server.Close()
+	w.mu.Lock()
+	for _, r := range w.active {
+		w.Rec.Line("worker %s: %s run %d is lost in the crash", w.ID, r.task, r.run)
+		w.Ends = append(w.Ends, EndSeen{At: time.Now(), Task: r.task, Run: r.run})
+	}
+	w.born, w.seq, w.beatAddr, w.fence, w.lease = time.Now(), 0, "", 0, 0
+	w.active, w.highest, w.ended, w.lastEnd = map[string]*activeRun{}, map[string]int{}, nil, 0
+	w.mu.Unlock()
+	w.Rec.Line("worker %s: has crashed and starts again under its id", w.ID)
+	return w.listen()
+}
+
+// CarryOut carries out an order to start a task that was left unanswered.
+func (w *Worker) CarryOut(b orderBody) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Rec.Line("worker %s: carries out the late order for %s run %d, fence_token %d, deadline_ms %d, at clock_ms %d", w.ID, b.Task, b.Run, b.FenceToken, b.DeadlineMS, w.clock())
+	reason := "fence"
+	if b.FenceToken >= w.fence {
+		w.fence = b.FenceToken
+		reason = w.runStart(b)
+	}
+	if reason != "" {
+		w.Rec.Line("worker %s: rejects the late order: %s", w.ID, reason)
+	}
+}
+
 // Close ends the worker.
 func (w *Worker) Close() {
 	select {
@@ -130,29 +187,48 @@
 	_ = json.NewEncoder(rw).Encode(body)
 }
 
+// startOrHold handles an order to start a task.
+func (w *Worker) startOrHold(rw http.ResponseWriter, r *http.Request) {
+	b, ok := w.decode(rw, r)
+	switch {
+	case !ok:
+	case w.Hold != nil && w.Hold(b):
+		w.Rec.Line("worker %s: the order for %s run %d, fence_token %d, deadline_ms %d, gets no answer", w.ID, b.Task, b.Run, b.FenceToken, b.DeadlineMS)
+		select {
+		case <-time.After(5 * time.Second):
+		case <-r.Context().Done():
+		}
+		panic(http.ErrAbortHandler)
+	default:
+		w.answerOrder(rw, b, w.runStart)
+	}
+}
+
 func (w *Worker) order(do func(b orderBody) string) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
-		b, ok := w.decode(rw, r)
-		if !ok {
-			return
+		if b, ok := w.decode(rw, r); ok {
+			w.answerOrder(rw, b, do)
 		}
-		w.mu.Lock()
-		reason := "fence"
-		if b.FenceToken >= w.fence {
-			w.fence = b.FenceToken
-			reason = do(b)
-		}
-		clock := w.clock()
-		w.mu.Unlock()
-		if reason != "" {
-			w.Rec.Line("worker %s: rejects the order for %s run %d, fence_token %d: %s", w.ID, b.Task, b.Run, b.FenceToken, reason)
-			answer(rw, http.StatusConflict, map[string]any{"clock_ms": clock, "reason": reason})
-			return
-		}
-		answer(rw, http.StatusOK, map[string]any{"clock_ms": clock, "born": w.born.UnixMilli()})
 	}
 }
 
+func (w *Worker) answerOrder(rw http.ResponseWriter, b orderBody, do func(b orderBody) string) {
+	w.mu.Lock()
+	reason := "fence"
+	if b.FenceToken >= w.fence {
+		w.fence = b.FenceToken
+		reason = do(b)
+	}
+	clock, born := w.clock(), w.born.UnixMilli()
+	w.mu.Unlock()
+	if reason != "" {
+		w.Rec.Line("worker %s: rejects the order for %s run %d, fence_token %d: %s", w.ID, b.Task, b.Run, b.FenceToken, reason)
+		answer(rw, http.StatusConflict, map[string]any{"clock_ms": clock, "reason": reason})
+		return
+	}
+	answer(rw, http.StatusOK, map[string]any{"clock_ms": clock, "born": born})
+}
+
 func (w *Worker) extend(deadline int64) {
 	w.lease = max(w.lease, min(deadline, w.clock()+maxHold.Milliseconds()))
 }
@@ -198,6 +274,7 @@
 }
 
 func (w *Worker) runStop(b orderBody) string {
+	w.Rec.Line("worker %s: is told to stop %s run %d, fence_token %d", w.ID, b.Task, b.Run, b.FenceToken)
 	w.highest[b.Task] = max(w.highest[b.Task], b.Run)
 	if r := w.active[b.Task]; r != nil && r.run <= b.Run {
 		time.AfterFunc(stopGrace/2, func() {
@@ -218,6 +295,7 @@
 	w.highest[r.task] = max(w.highest[r.task], r.run)
 	w.lastEnd++
 	w.ended = append(w.ended, endedRun{n: w.lastEnd, task: r.task, run: r.run, how: how})
+	w.Ends = append(w.Ends, EndSeen{At: time.Now(), Task: r.task, Run: r.run})
 	w.Rec.Line("worker %s: %s run %d ended %s", w.ID, r.task, r.run, how)
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -314,6 +392,10 @@
 	first := rand.IntN(len(w.Controls))
 	for n := range 2 * len(w.Controls) {
 		w.mu.Lock()
+		if w.cut {
+			w.mu.Unlock()
+			return
+		}
 		w.seq++
 		state, named := w.state, w.beatAddr != ""
 		to := w.beatAddr
