--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -66,6 +66,7 @@
 	"lost-config": lostConfig,
 	"drain":       drain,
 	"first-start": firstStart,
+	"late-start":  lateStart,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig-2/worker.go
+++ b/review/rig-2/worker.go
@@ -27,7 +27,12 @@
 	controls []string
 	mu       sync.Mutex
 	workers  []*worker
+	doubles  []string                              // tasks that ran twice at the same time
 	onStart  func(w *worker, task string, run int) // called with the lock held
+
+	// lateBy returns how much later a start is carried out, without an answer, 0 for a usual one. It is
+	// called with the lock held.
+	lateBy func(w *worker, o orderBody) time.Duration
 }
 
 // worker is one worker. Its process may end and start again under the same id.
@@ -40,6 +45,7 @@
 	labels []string
 
 	controlCut bool // no packets pass between it and the machines that serve control
+	cut        bool // no packets pass between it and any machine of the system
 	up         bool
 	draining   bool
 	life       int
@@ -117,7 +123,7 @@
 	w.changed, w.stopBeats, w.drainAcked = make(chan struct{}), make(chan struct{}), time.Time{}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", w.handle(w.runStart))
-	mux.HandleFunc("POST /run-stop", w.handle(w.runStop))
+	mux.HandleFunc("POST /run-stop", w.handle(func(rw http.ResponseWriter, _ *http.Request, o orderBody) { w.runStop(rw, o) }))
 	mux.HandleFunc("POST /hold", w.hold)
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	w.listener, w.server = listener, &http.Server{Handler: mux}
@@ -173,7 +179,7 @@
 	if w.draining {
 		state = "draining"
 	}
-	cut, seq := control && w.controlCut, w.seq
+	cut, seq := w.cut || control && w.controlCut, w.seq
 	body, _ := json.Marshal(map[string]any{
 		"service": serviceName, "addr": fmt.Sprintf("%s:%d", w.ip, workerPort), "zone": zones[w.zone], "version": "v1", "slots": 8,
 		"state": state, "warmup_left_ms": 0, "capacity": map[string]any{"cpu": w.cpu, "mem_mb": 65536, "gpu": 0},
@@ -253,7 +259,7 @@
 	_, _ = rw.Write(data)
 }
 
-func (w *worker) handle(do func(rw http.ResponseWriter, o orderBody)) http.HandlerFunc {
+func (w *worker) handle(do func(rw http.ResponseWriter, r *http.Request, o orderBody)) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		data, err := io.ReadAll(r.Body)
 		if err != nil {
@@ -261,34 +267,86 @@
 		}
 		w.pool.mu.Lock()
 		defer w.pool.mu.Unlock()
+		if w.lost(r) {
+			return
+		}
 		if o, ok := w.readOrder(rw, r, data); ok {
-			do(rw, o)
+			do(rw, r, o)
+		}
+	}
+}
+
+// lost holds a call without an answer until its caller gives up, if the worker is cut off. The lock is
+// held.
+func (w *worker) lost(r *http.Request) bool {
+	if !w.cut {
+		return false
+	}
+	w.pool.mu.Unlock()
+	<-r.Context().Done()
+	w.pool.mu.Lock()
+	return true
+}
+
+// late carries a start out later. Its time counts from then.
+func (w *worker) late(o orderBody, by time.Duration) {
+	w.pool.play.note("worker %s leaves the start of %s run %d unanswered", w.id, o.Task, o.Run)
+	time.AfterFunc(by, func() {
+		w.pool.mu.Lock()
+		defer w.pool.mu.Unlock()
+		o.DeadlineMS += by.Milliseconds()
+		if o.FenceToken < w.fence {
+			w.pool.play.note("worker %s refuses the late start of %s for its fence", w.id, o.Task)
+			return
+		}
+		w.fence = o.FenceToken
+		w.carryOut(o, func(s int, reason string) {
+			w.pool.play.note("worker %s carries out the start of %s run %d, %.1f s late: %d %s", w.id, o.Task, o.Run, by.Seconds(), s, reason)
+		})
+	})
+}
+
+func (w *worker) runStart(rw http.ResponseWriter, r *http.Request, o orderBody) {
+	if w.pool.lateBy != nil {
+		if by := w.pool.lateBy(w, o); by > 0 {
+			w.late(o, by)
+			w.pool.mu.Unlock()
+			<-r.Context().Done()
+			w.pool.mu.Lock()
+			return
 		}
 	}
+	w.carryOut(o, func(status int, reason string) {
+		body := map[string]any{}
+		if reason != "" {
+			body["reason"] = reason
+		}
+		w.reply(rw, status, body)
+	})
 }
 
-func (w *worker) runStart(rw http.ResponseWriter, o orderBody) {
-	refuse := func(reason string) { w.reply(rw, http.StatusConflict, map[string]any{"reason": reason}) }
+// carryOut carries out a start and passes on the answer.
+func (w *worker) carryOut(o orderBody, answer func(status int, reason string)) {
 	if r, ok := w.runs[o.Task]; ok && r.number == o.Run {
-		w.reply(rw, http.StatusOK, map[string]any{})
+		answer(http.StatusOK, "")
 		return
 	}
 	var spec specBody
 	if json.Unmarshal([]byte(o.Spec), &spec) != nil {
-		rw.WriteHeader(http.StatusBadRequest)
+		answer(http.StatusBadRequest, "")
 		return
 	}
 	switch _, other := w.runs[o.Task]; {
 	case o.DeadlineMS <= w.clock():
-		refuse("late")
+		answer(http.StatusConflict, "late")
 		return
 	case other || o.Run <= w.lastRun[o.Task]:
 		w.extend(o.DeadlineMS)
-		refuse("old")
+		answer(http.StatusConflict, "old")
 		return
 	case w.used+spec.CPU > w.cpu:
 		w.extend(o.DeadlineMS)
-		refuse("room")
+		answer(http.StatusConflict, "room")
 		return
 	}
 	w.extend(o.DeadlineMS)
@@ -302,7 +360,7 @@
 		w.end(o.Task, r, "done")
 	})
 	w.pool.started(w, o.Task, o.Run)
-	w.reply(rw, http.StatusOK, map[string]any{})
+	answer(http.StatusOK, "")
 }
 
 func (w *worker) runStop(rw http.ResponseWriter, o orderBody) {
@@ -325,6 +383,9 @@
 	}
 	w.pool.mu.Lock()
 	defer w.pool.mu.Unlock()
+	if w.lost(r) {
+		return
+	}
 	o, ok := w.readOrder(rw, r, data)
 	if !ok {
 		return
@@ -347,6 +408,9 @@
 		if !w.up || w.life != life {
 			panic(http.ErrAbortHandler)
 		}
+		if w.lost(r) {
+			return
+		}
 		w.expire()
 	}
 	active, ended := [][]any{}, append([][]any{}, w.ends...)
@@ -401,6 +465,7 @@
 	for _, other := range l.workers {
 		if r, ok := other.runs[task]; ok && other != w {
 			l.play.note("task %s run %d starts on %s while run %d is on %s", task, run, w.id, r.number, other.id)
+			l.doubles = append(l.doubles, fmt.Sprintf("task %s ran on %s and %s at the same time", task, other.id, w.id))
 		}
 	}
 	if l.onStart != nil {
