--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 cd review/rig-2
-GOFLAGS=-mod=mod GOWORK=off go build -o ../../target/review-2/rig .
+GOFLAGS= GOWORK=off go build -buildvcs=false -o ../../target/review-2/rig .
