--- a/review/rig-2/latestart.go
+++ b/review/rig-2/latestart.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 )
 
 // lateStart has a worker leave the start of a task unanswered and carry it out some seconds later. The
 // worker is cut off right after the order. The client gets no answer within its deadline and sends the
-// job again, to a front of another zone.
+// job again, to a front of another zone. With TROUBLE=placer the zone's placer is killed after the order
+// too, and all attempts go to the zone's other front.
 func lateStart(p *play) {
 	const (
 		late     = 3300 * time.Millisecond
@@ -64,7 +66,17 @@
 	body, _ := json.Marshal(map[string]any{
 		"spec": string(spec), "best_effort": true, "phases": []any{map[string]any{"count": 1, "cpu": 6800, "mem_mb": 64, "est_ms": 1200}},
 	})
-	for n, front := range []*host{fronts[0], fronts[2], fronts[4]} {
+	attempts := []*host{fronts[0], fronts[2], fronts[4]}
+	if p.trouble == "placer" {
+		placer, other := workers.placerOf(fronts[:2])
+		attempts = []*host{other, other, other}
+		time.AfterFunc(100*time.Millisecond, func() {
+			placer.kill()
+			time.Sleep(time.Second)
+			placer.start()
+		})
+	}
+	for n, front := range attempts {
 		p.note("the client hands the job in at %s, attempt %d", front.name, n+1)
 		status, answer := post(context.Background(), front, job, body, deadline)
 		p.note("the answer: %d %.80s", status, answer)
@@ -84,3 +96,13 @@
 		p.breaks("%s", text)
 	}
 }
+
+// placerOf returns which of two fronts takes the reports of the first worker, and the other one.
+func (l *pool) placerOf(fronts []*host) (placer, other *host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if strings.HasPrefix(l.workers[0].beatAddr, fronts[0].ip+":") {
+		return fronts[0], fronts[1]
+	}
+	return fronts[1], fronts[0]
+}
