intake: bound the memory that contents of bodies take once decoded

Clients that sent many complete bodies of legal size ended a host: it ran out of memory. 4 MB of "{}," are 1.4 million routes of 160 bytes, and a slice of them grows by copying; only the bytes of the bodies were bounded, and the contents of all bodies were decoded at once.

Ruled out: the buffers of the bodies (the same sizes as one text take 64 MB and less), nesting (159 MB and less).

Change: package weight counts the elements of arrays while a JSON body arrives. A body whose content would take more than the listener's share is refused with 413 before its end; else its weight is charged until it is decoded, and it waits while others are decoded. Bodies of up to 4 KB aren't weighed, so ordinary jobs and reports cost nothing more.

--- a/body/body.go
+++ b/body/body.go
@@ -11,15 +11,22 @@
 
 	"dogwoodrock.example/dogwoodrock/codec"
 	"dogwoodrock.example/dogwoodrock/intake"
+	"dogwoodrock.example/dogwoodrock/weight"
 )
 
 // ContentJSON is the content type of all bodies.
 const ContentJSON = "application/json"
 
+// elementBytes is what an element of an array takes once it is decoded. The largest one is a task of a job, which is
+// held in the message and in the submission.
+const elementBytes = 512
+
+var weighJSON = intake.WithWeight(func() func(p []byte) int64 { return weight.JSON(elementBytes) })
+
 // Read decodes the body of a request into m. It returns a codec.JSONError if the body
 // doesn't match the message, or the error of reading the body.
 func Read(c echo.Context, m proto.Message) error {
-	b, err := intake.Read(c.Response(), c.Request(), math.MaxInt64-1)
+	b, err := intake.Read(c.Response(), c.Request(), math.MaxInt64-1, weighJSON)
 	if err != nil {
 		return err
 	}
--- a/crowd/clients_test.go
+++ b/crowd/clients_test.go
@@ -14,10 +14,12 @@
 // client is the behaviour of one client of a crowd. It writes one request, or a part of one, and keeps the
 // connection open.
 type client struct {
-	announce int  // Content-Length, 0 for a chunked body
-	send     int  // bytes of the body that it sends
-	piece    int  // bytes in one write; in one chunk of a chunked body
-	end      bool // whether a chunked body is ended
+	announce int    // Content-Length, 0 for a chunked body
+	send     int    // bytes of the body that it sends
+	piece    int    // bytes in one write; in one chunk of a chunked body
+	end      bool   // whether a chunked body is ended
+	body     []byte // what it sends, instead of send bytes without meaning
+	requests int    // number of requests without a body that it sends, instead of one with a body
 }
 
 const (
@@ -31,6 +33,13 @@
 	method  string
 	path    string
 	header  string // further header lines
+	port    int    // of the address, for at
+}
+
+// at returns the target at a host.
+func (to target) at(ip string) target {
+	to.address = at(ip, to.port)
+	return to
 }
 
 // run opens a connection for each client and returns when all of them have sent what they send or were
@@ -59,7 +68,28 @@
 	return closeAll
 }
 
+// runAll runs several crowds at once.
+func runAll(t *testing.T, all []crowdAt) (closeAll func()) {
+	t.Helper()
+	closes := make([]func(), len(all))
+	var wg sync.WaitGroup
+	for i, c := range all {
+		wg.Go(func() { closes[i] = run(t, c.to, c.clients) })
+	}
+	wg.Wait()
+	return func() {
+		for _, f := range closes {
+			f()
+		}
+	}
+}
+
 func (c client) play(conn net.Conn, to target) {
+	if c.requests > 0 {
+		head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: n.example\r\n%s\r\n", to.method, to.path, to.header)
+		write(conn, []byte(strings.Repeat(head, c.requests)))
+		return
+	}
 	length := "Transfer-Encoding: chunked\r\n"
 	if c.announce > 0 {
 		length = fmt.Sprintf("Content-Length: %d\r\n", c.announce)
@@ -76,7 +106,7 @@
 }
 
 func (c client) playAnnounced(conn net.Conn) {
-	body := content(c.send, c.send == c.announce)
+	body := c.content()
 	for len(body) > 0 {
 		n := min(c.piece, len(body))
 		if !write(conn, body[:n]) {
@@ -87,7 +117,7 @@
 }
 
 func (c client) playChunked(conn net.Conn) {
-	body := content(c.send, c.end)
+	body := c.content()
 	var batch bytes.Buffer
 	for len(body) > 0 {
 		n := min(c.piece, len(body))
@@ -116,6 +146,14 @@
 	return err == nil
 }
 
+// content returns what the client sends of its body.
+func (c client) content() []byte {
+	if c.body != nil {
+		return c.body
+	}
+	return content(c.send, c.end || c.send == c.announce)
+}
+
 // content returns a body of n bytes, JSON with one long unknown field. It is complete if whole is set.
 func content(n int, whole bool) []byte {
 	const begin, end = `{"pad":"`, `"}`
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -132,11 +132,23 @@
 // check runs a crowd against a process and checks the process during and after it. ordinary makes an
 // ordinary request.
 func check(t *testing.T, p *process, to target, clients []client, memoryMB, descriptors int, ordinary func() bool) {
+	t.Helper()
+	checkAll(t, p, []crowdAt{{to, clients}}, memoryMB, descriptors, ordinary)
+}
+
+// crowdAt is a crowd and where it sends its requests.
+type crowdAt struct {
+	to      target
+	clients []client
+}
+
+// checkAll runs several crowds at once against a process and checks the process as check does.
+func checkAll(t *testing.T, p *process, all []crowdAt, memoryMB, descriptors int, ordinary func() bool) {
 	t.Helper()
 	before := p.measure()
 	stop := make(chan struct{})
 	result := p.watch(stop)
-	closeAll := run(t, to, clients)
+	closeAll := runAll(t, all)
 	p.settle(t)
 	waitUntil(t, "an ordinary request beside the crowd", func() bool { return !p.alive() || ordinary() })
 	closeAll()
--- a/daemon/assemble.go
+++ b/daemon/assemble.go
@@ -156,9 +156,8 @@
 // intakeLimits returns the limits for the clients of a listener.
 func (h *Host) intakeLimits(unread int) intake.Limits {
 	l := h.Settings.Limits
-	return intake.Limits{
-		Conns: l.Connections, BodyBytes: int64(l.BodyBytes), AllBodies: int64(l.BodyBytes) * int64(l.Bodies), Unread: unread,
-	}
+	all := int64(l.BodyBytes) * int64(l.Bodies)
+	return intake.Limits{Conns: l.Connections, BodyBytes: int64(l.BodyBytes), AllBodies: all, Contents: all, Unread: unread}
 }
 
 // clientsClosed returns the function that counts and logs the connections that a listener has closed.
--- a/front/body.go
+++ b/front/body.go
@@ -54,6 +54,8 @@
 	switch {
 	case err == nil:
 		return nil
+	case errors.As(err, &refused) && refused.Permanent():
+		return &model.RefusalError{Code: model.CodeTooLarge, Reason: err.Error(), NotRun: true}
 	case errors.As(err, &refused):
 		return &model.RefusalError{Code: model.CodeOverloaded, Reason: err.Error(), NotRun: true, RetryAfter: intake.RetryAfter * time.Second}
 	case errors.As(err, &tooLarge):
--- a/hosted/limits.go
+++ b/hosted/limits.go
@@ -12,6 +12,7 @@
 type clientShare struct {
 	memory    float64 // of the memory limit, for bodies that are being read; reading takes up to twice that
 	leastBody int64   // bytes for bodies that are granted whatever the memory limit is
+	contents  float64 // of the memory limit, for what bodies take once they are decoded
 	conns     float64 // of the descriptors
 	body      int64   // bytes of one body
 	large     int64   // bytes from which bodies are read one after the other
@@ -27,6 +28,10 @@
 	messageBody = configBody + 1<<20 // a configuration and what a message carries beside it
 	noBody      = 64 << 10           // of requests that have none by their protocol
 
+	// leastContents is what decoded contents may take whatever the memory limit is: the tasks or labels of a body
+	// of the largest size, in the form that clients send them.
+	leastContents = 1 << 20
+
 	// largeConfig is the size from which configurations are read and committed one after the other. Those of
 	// up to 12,300 routes are smaller, and reports can't be larger.
 	largeConfig = 4 << 20
@@ -45,19 +50,19 @@
 // connections to backend servers and to other hosts, and half of the memory for the other work. Each other
 // host may keep two connections for messages: with 300 hosts they are 600 at a placer.
 var entryShares = map[string]clientShare{
-	"callers":         {memory: 1. / 16, leastBody: 2 * jobBody, conns: 0.25, body: jobBody, unread: unreadOfMany},
-	"beats":           {memory: 1. / 32, leastBody: reportBody, conns: 0.13, body: reportBody, unread: unreadOfHosts},
+	"callers":         {memory: 1. / 16, leastBody: 2 * jobBody, contents: 1. / 16, conns: 0.25, body: jobBody, unread: unreadOfMany},
+	"beats":           {memory: 1. / 32, leastBody: reportBody, contents: 1. / 32, conns: 0.13, body: reportBody, unread: unreadOfHosts},
 	"readiness":       {memory: 1. / 256, leastBody: noBody, conns: 0.02, body: noBody, unread: unreadOfMany},
 	"operators":       {memory: 1. / 256, leastBody: noBody, conns: 0.02, body: noBody, unread: unreadOfMany},
-	msgs.ServicePeers: {memory: 1. / 16, leastBody: 2 << 20, conns: 0.25, body: messageBody, messages: true, unread: unreadOfHosts},
+	msgs.ServicePeers: {memory: 1. / 16, leastBody: 2 << 20, contents: 1. / 16, conns: 0.25, body: messageBody, messages: true, unread: unreadOfHosts},
 }
 
 // coreShares are the shares of a core host. One configuration of the largest size is read whatever the
 // memory limit is, and one message with it.
 var coreShares = map[string]clientShare{
-	"control":         {memory: 1. / 6, leastBody: configBody, conns: 0.33, body: configBody, large: largeConfig, unread: unreadOfCore},
+	"control":         {memory: 1. / 6, leastBody: configBody, contents: 1. / 4, conns: 0.33, body: configBody, large: largeConfig, unread: unreadOfCore},
 	"operators":       {memory: 1. / 256, leastBody: noBody, conns: 0.02, body: noBody, unread: unreadOfMany},
-	msgs.ServicePeers: {memory: 1. / 6, leastBody: messageBody, conns: 0.3, body: messageBody, messages: true, unread: unreadOfCore},
+	msgs.ServicePeers: {memory: 1. / 6, leastBody: messageBody, contents: 1. / 8, conns: 0.3, body: messageBody, messages: true, unread: unreadOfCore},
 }
 
 // Values for a process without limits in its settings.
@@ -87,6 +92,7 @@
 		Conns:     max(int(math.Min(share.conns*float64(fds), defaultFDs)), 1),
 		BodyBytes: share.body,
 		AllBodies: max(int64(share.memory*float64(memory)), share.leastBody),
+		Contents:  max(int64(share.contents*float64(memory)), leastContents),
 		Large:     share.large,
 		Messages:  share.messages,
 		Unread:    share.unread,
--- a/intake/body.go
+++ b/intake/body.go
@@ -26,6 +26,8 @@
 		return "there are too many connections; nothing was run, send the request again"
 	case Turn:
 		return "other large bodies are being read; nothing was run, send the request again"
+	case Content:
+		return "the content of the body takes too much memory; nothing was run"
 	default:
 		return "the body arrived too slowly; nothing was run"
 	}
@@ -48,6 +50,13 @@
 	b.turn.end()
 }
 
+// Decoded returns what the body was charged for its decoded content, which isn't used any more.
+func (b *Body) Decoded() {
+	if b.gate != nil {
+		b.gate.releaseContent(b.conn)
+	}
+}
+
 // KeepTurn returns the function that ends the turn of a large body. Release doesn't end it any more: others
 // use the body after the request.
 func (b *Body) KeepTurn() (end func()) {
@@ -56,6 +65,11 @@
 	return t.end
 }
 
+// Permanent reports whether the same request would be refused again at any time.
+func (e *RefusedError) Permanent() bool {
+	return e.Reason == Content
+}
+
 // RetryAfter returns the time in seconds after which the client may come back.
 func (e *RefusedError) RetryAfter() int {
 	if e.Reason == Turn {
@@ -64,11 +78,21 @@
 	return RetryAfter
 }
 
+// Option configures the reading of a body.
+type Option func(*meter)
+
+// WithWeight bounds the memory that the content of a body takes once it is decoded by Limits.Contents. For each body
+// that may be larger than the buffers of its connection, begin returns a function that takes the next piece of the
+// body and returns the bytes that the content takes so far, beside those of the body.
+func WithWeight(begin func() func(p []byte) int64) Option {
+	return func(m *meter) { m.beginWeight = begin }
+}
+
 // Read reads the body of a request, up to limit bytes, within the limits of the gate of its connection. The
 // error is a RefusedError if a limit of the gate was met, and an http.MaxBytesError if the body is too
 // large. The connection is closed after the response then.
-func Read(w http.ResponseWriter, r *http.Request, limit int64) (Body, error) {
-	m := newMeter(w, r)
+func Read(w http.ResponseWriter, r *http.Request, limit int64, opts ...Option) (Body, error) {
+	m := newMeter(w, r, opts)
 	if m.gate != nil {
 		limit = min(limit, m.gate.limits.BodyBytes)
 	}
@@ -85,6 +109,9 @@
 	}
 	m.begin()
 	data, err := m.readAll(r.ContentLength, limit)
+	if err == nil {
+		err = m.chargeContent()
+	}
 	if err == nil {
 		err = m.end()
 	}
@@ -98,9 +125,9 @@
 
 // Wrap returns a handler that charges what next reads of the body of a request until next returns. It is
 // for handlers that read the body themselves.
-func Wrap(next http.Handler) http.Handler {
+func Wrap(next http.Handler, opts ...Option) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		m := newMeter(w, r)
+		m := newMeter(w, r, opts)
 		if m.gate == nil || r.ContentLength == 0 {
 			next.ServeHTTP(w, r)
 			return
@@ -172,7 +199,11 @@
 	case err == nil:
 		return n, nil
 	case errors.Is(err, io.EOF):
-		if refused := b.end(); refused != nil {
+		refused := b.chargeContent()
+		if refused == nil {
+			refused = b.end()
+		}
+		if refused != nil {
 			return 0, b.failed(refused)
 		}
 		b.arrived()
@@ -196,13 +227,23 @@
 	small   int   // small reads
 	reading bool
 	turn    *turn
+
+	beginWeight func() func(p []byte) int64 // nil if the content isn't weighed
+	weigh       func(p []byte) int64        // nil for a small body
+	weight      int64                       // of the content so far
 }
 
-func newMeter(w http.ResponseWriter, r *http.Request) meter {
+func newMeter(w http.ResponseWriter, r *http.Request, opts []Option) meter {
 	m := meter{w: w, src: r.Body, ctx: r.Context(), chunked: r.ContentLength < 0}
 	if m.conn, _ = m.ctx.Value(connKey{}).(*conn); m.conn != nil {
 		m.gate = m.conn.gate
 	}
+	for _, opt := range opts {
+		opt(&m)
+	}
+	if m.beginWeight != nil && m.gate != nil && (m.chunked || r.ContentLength > smallBody) {
+		m.weigh = m.beginWeight()
+	}
 	return m
 }
 
@@ -276,12 +317,27 @@
 			return 0, refused
 		}
 	}
+	if m.weigh != nil {
+		if m.weight = m.weigh(p[:n]); m.weight > m.gate.limits.Contents {
+			m.conn.refuse(Content)
+			return 0, &RefusedError{Reason: Content}
+		}
+	}
 	if err == nil && n < smallRead && n < len(p) {
 		m.pace()
 	}
 	return n, err
 }
 
+// chargeContent charges the decoded content of a body that has arrived. It waits while those of others take too much.
+func (m *meter) chargeContent() error {
+	if m.weight == 0 || m.gate.chargeContent(m.ctx, m.conn, m.weight) {
+		return nil
+	}
+	m.conn.refuse(AllBodies) // unless it was refused meanwhile
+	return &RefusedError{Reason: m.conn.refused()}
+}
+
 // account charges the bytes that were read and checks the bytes of the chunks' headers.
 func (m *meter) account(n int64) error {
 	m.conn.moved.Store(time.Now().UnixNano())
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -26,6 +26,7 @@
 	writes    atomic.Int64  // twice the pieces written, plus 1 while one is being written
 	moved     atomic.Int64  // Unix nanoseconds of the last progress, exact only for large bodies
 	bytes     atomic.Int64  // charged for the body
+	content   atomic.Int64  // charged for its decoded content
 	announced atomic.Int64  // size of the body, not positive if unknown
 	closed    atomic.Bool
 	lingers   atomic.Bool // Close has begun to wait for the client
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -25,6 +25,7 @@
 	stopped atomic.Bool  // the listener is closed
 	reading atomic.Int64 // bodies being read
 	bytes   atomic.Int64 // charged for them
+	content atomic.Int64 // charged for their decoded contents
 	counts  [reasons]atomic.Int64
 
 	waiting   []shortage   // for bytes of refused bodies, until those are released
@@ -35,9 +36,10 @@
 
 // shortage is the request for bytes, or for connections if bytes is 0.
 type shortage struct {
-	conn  *conn // that needs the bytes
-	bytes int64
-	reply func(freed bool)
+	conn    *conn // that needs the bytes
+	bytes   int64
+	content bool // for a decoded content
+	reply   func(freed bool)
 }
 
 // released tells that bytes were released while bodies wait for some.
@@ -52,6 +54,7 @@
 	limits.Conns = cmp.Or(limits.Conns, defaultConns)
 	limits.BodyBytes = cmp.Or(limits.BodyBytes, math.MaxInt64)
 	limits.AllBodies = cmp.Or(limits.AllBodies, math.MaxInt64)
+	limits.Contents = cmp.Or(limits.Contents, math.MaxInt64)
 	if closed == nil {
 		closed = func(Closed) {}
 	}
@@ -94,10 +97,15 @@
 func (g *Gate) retry() {
 	isRefused := func(m shortage) bool { return m.conn.refused() != None }
 	for again := true; again; again = slices.ContainsFunc(g.waiting, isRefused) {
-		need := int64(0)
+		need, content := int64(0), int64(0)
 		g.waiting = slices.DeleteFunc(g.waiting, func(m shortage) bool {
 			result := bytesTaken
-			if !isRefused(m) {
+			switch {
+			case isRefused(m):
+			case m.content:
+				content += m.bytes
+				result = g.freeContent(content)
+			default:
 				need += m.bytes
 				result = g.freeBytes(need)
 			}
@@ -153,6 +161,15 @@
 	return bytesComing
 }
 
+// freeContent reports whether the bytes can be charged for decoded contents. Those that hold them are being decoded,
+// which ends without the clients.
+func (g *Gate) freeContent(bytes int64) int {
+	if g.content.Load()+bytes <= g.limits.Contents {
+		return bytesFree
+	}
+	return bytesComing
+}
+
 // evictShare is the part of the connections that is closed at a time. Each choice looks at all of them.
 const evictShare = 32
 
@@ -275,13 +292,45 @@
 	}
 }
 
+// chargeContent charges a decoded content to a connection, and waits until those of other bodies leave enough. It
+// reports false if the body was refused meanwhile.
+func (g *Gate) chargeContent(ctx context.Context, c *conn, n int64) bool {
+	for {
+		if used := g.content.Add(n); used <= g.limits.Contents {
+			c.content.Add(n)
+			return true
+		}
+		g.content.Add(-n)
+		freed, err := kernel.Ask(ctx, g.task, func(reply func(bool)) any {
+			return shortage{conn: c, bytes: n, content: true, reply: reply}
+		})
+		if err != nil || !freed || c.refused() != None {
+			return false
+		}
+	}
+}
+
 // release returns what is charged to a connection.
 func (g *Gate) release(c *conn) {
-	n := c.bytes.Swap(0)
-	if n == 0 {
+	n, content := c.bytes.Swap(0), c.content.Swap(0)
+	if n+content == 0 {
 		return
 	}
 	g.bytes.Add(-n)
+	g.content.Add(-content)
+	g.wakeWaiting()
+}
+
+// releaseContent returns what is charged to a connection for its decoded content.
+func (g *Gate) releaseContent(c *conn) {
+	if n := c.content.Swap(0); n > 0 {
+		g.content.Add(-n)
+		g.wakeWaiting()
+	}
+}
+
+// wakeWaiting tells the service that bytes were released, if bodies wait for some.
+func (g *Gate) wakeWaiting() {
 	if g.waiters.Load() > 0 {
 		g.task.Reply(released{})
 	}
--- a/intake/gate_test.go
+++ b/intake/gate_test.go
@@ -33,12 +33,12 @@
 
 // startServer starts a server that answers with the number of bytes of a body, or with the error of its
 // reading: 503 if the gate refused it, 400 otherwise. Its sweeps are made by the test.
-func startServer(t *testing.T, limits Limits, wrapped bool) *server {
+func startServer(t *testing.T, limits Limits, wrapped bool, opts ...Option) *server {
 	t.Helper()
 	s := &server{kernel: kernel.New(), now: time.Now()}
 	gate := New(limits, func(c Closed) { s.counts[c.Reason].Add(c.Count) })
 	handler := http.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		b, err := Read(w, r, limits.BodyBytes)
+		b, err := Read(w, r, limits.BodyBytes, opts...)
 		answer(w, r, len(b.Data), err)
 		b.Release()
 	}))
@@ -46,7 +46,7 @@
 		handler = Wrap(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			data, err := io.ReadAll(r.Body)
 			answer(w, r, len(data), err)
-		}))
+		}), opts...)
 	}
 	readers := handler
 	handler = gate.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -7,6 +7,7 @@
 	Conns     int   // open connections
 	BodyBytes int64 // size of one body
 	AllBodies int64 // bytes of all bodies that are being read or decoded. Reading a body takes up to twice its size
+	Contents  int64 // bytes that the contents of all bodies take once they are decoded, see WithWeight
 	Large     int64 // size from which bodies are read and used one after the other, 0 for no such size
 	Messages  bool  // the bodies are messages between hosts: EvictMessages decides
 	Unread    int   // bytes that the system receives for a connection before the process reads them, 0 for the system's default
@@ -77,10 +78,11 @@
 	Framing          // the chunks of the body are too small
 	Unread           // the client doesn't read its response
 	Turn             // other large bodies were read and used all the time
+	Content          // the content of the body would take too much memory once it is decoded
 	reasons
 )
 
-var reasonNames = [reasons]string{"None", "Connections", "AllBodies", "BodySize", "Stalled", "Slow", "Framing", "Unread", "Turn"}
+var reasonNames = [reasons]string{"None", "Connections", "AllBodies", "BodySize", "Stalled", "Slow", "Framing", "Unread", "Turn", "Content"}
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string {
