peers: bound the memory that messages between hosts take once decoded

A batch of 1 MB that consists of empty envelopes, or of empty elements in one, takes more than a hundred times its size once it is decoded; some clients at the listener for other hosts were enough to end a host. Only the bytes were bounded.

Change: weight.Message follows the fields of a batch while it arrives, by its schema, and intake refuses or delays it as it does for JSON. Twirp's JSON form, which no host sends, is answered with 415 before its body is read.

--- /dev/null
+++ b/crowd/batch_test.go
@@ -0,0 +1,75 @@
+package crowd
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+)
+
+const deliver = "/twirp/dogwoodrock.wire.Peer/Deliver"
+
+var (
+	protoBatch = target{port: peerPort, method: "POST", path: deliver, header: "Content-Type: application/protobuf\r\n"}
+	jsonBatch  = target{port: peerPort, method: "POST", path: deliver, header: "Content-Type: application/json\r\n"}
+)
+
+// Messages between hosts, in the encoding of Protocol Buffers: a batch holds envelopes in field 5.
+func batchContents(size int) map[string][]byte {
+	const envelopes, renew = 5, 8
+	grants := strings.Repeat("\x3a\x00", size/2-20) // empty elements of field 7
+	return map[string][]byte{
+		"empty envelopes": fill(size, "", "\x2a\x00", ""),
+		"empty elements":  nested(envelopes, nested(renew, []byte(grants))),
+		"unknown fields":  fill(size, "", "\xf8\x07\x00", ""),
+	}
+}
+
+// nested returns a field with a message in the encoding of Protocol Buffers.
+func nested(field int, message []byte) []byte {
+	b := varint(uint64(field<<3 | 2))
+	return append(append(b, varint(uint64(len(message)))...), message...)
+}
+
+func varint(n uint64) []byte {
+	var b []byte
+	for ; n >= 1<<7; n >>= 7 {
+		b = append(b, byte(n)|1<<7)
+	}
+	return append(b, byte(n))
+}
+
+// batchCrowds returns crowds of other hosts.
+func batchCrowds() map[string]crowdOf {
+	return map[string]crowdOf{
+		"large": {protoBatch, 8, batchContents(peerBytes)},
+		"small": {protoBatch, 40, batchContents(jobBytes)},
+		"JSON":  {jsonBatch, 8, map[string][]byte{"empty envelopes": fill(peerBytes, `{"Envelopes":[{}`, `,{}`, `]}`)}},
+	}
+}
+
+// TestBatches guards against a process that runs out of memory on messages of legal size between hosts whose content
+// takes many times their size once it is decoded.
+func TestBatches(t *testing.T) {
+	skipUnlessMeasurable(t)
+	for crowd, l := range batchCrowds() {
+		for name, body := range l.contents {
+			clients := whole(l.clients, body)
+			t.Run("entry host/"+crowd+"/"+name, func(t *testing.T) {
+				s := startSized(t, coreMemoryMB, leastEntryMB)
+				check(t, s.entry, l.to.at(s.entryIP), clients, leastEntryMB, maxFDs, s.submit)
+			})
+			t.Run("core host/"+crowd+"/"+name, func(t *testing.T) {
+				s := startSized(t, leastCoreMB, 1024)
+				version := 10
+				check(t, s.core, l.to.at(s.coreIP), clients, leastCoreMB, maxFDs, func() bool { version++; return s.put(version) })
+			})
+			t.Run("alone/"+crowd+"/"+name, func(t *testing.T) {
+				ip := reserveAddresses(t)(1)
+				p := startAlone(t, ip, aloneBytes)
+				ordinary := func() bool { return answers("GET", "http://"+at(ip, frontPort)+"/v1/status", "", http.StatusOK) }
+				waitUntil(t, "the status", ordinary)
+				check(t, p, l.to.at(ip), clients, aloneMemoryMB, 2*aloneConnections, ordinary)
+			})
+		}
+	}
+}
--- a/peers/server.go
+++ b/peers/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -12,6 +13,7 @@
 	"dogwoodrock.example/dogwoodrock/kernel"
 	"dogwoodrock.example/dogwoodrock/model"
 	"dogwoodrock.example/dogwoodrock/msgs"
+	"dogwoodrock.example/dogwoodrock/weight"
 	"dogwoodrock.example/dogwoodrock/wire"
 )
 
@@ -21,7 +23,10 @@
 	readTimeout    = 30 * time.Second // to read a whole call
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 16 << 10
-	dialTimeout    = 250 * time.Millisecond // a hundred round trips within a region; the system itself tries for minutes
+
+	contentProtobuf = "application/protobuf"
+
+	dialTimeout = 250 * time.Millisecond // a hundred round trips within a region; the system itself tries for minutes
 )
 
 // Endpoint implements the Twirp service on top of the inbox.
@@ -79,9 +84,25 @@
 	}
 }
 
+// batchSchema is the schema of the messages that hosts send.
+var batchSchema = weight.SchemaOf(&wire.Batch{})
+
+var weighBatch = intake.WithWeight(func() func(p []byte) int64 { return weight.Message(batchSchema) })
+
+// protobufOnly refuses messages as JSON, which Twirp takes as well and no host sends.
+func protobufOnly(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if t := r.Header.Get("Content-Type"); t != contentProtobuf {
+			http.Error(w, fmt.Sprintf("messages between hosts have the content type %s, not %.100q", contentProtobuf, t), http.StatusUnsupportedMediaType)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func newServer(e *Endpoint) *http.Server {
 	return &http.Server{
-		Handler:           intake.Wrap(trimHeaders(wire.NewPeerServer(e))),
+		Handler:           intake.Wrap(protobufOnly(trimHeaders(wire.NewPeerServer(e))), weighBatch),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
