Shorten what log lines and errors quote of a client's body

Clients that sent configurations of 4 MB with one name of that length took a core host of 280 MB to 299 to 339 MB. The name was quoted, with its quotes escaped, in the error, in the response and in a log line; up to 100 such lines a second were queued, 4,096 if their reader stands still. A number or an unknown field of any length was quoted as well.

Change: errors quote 100 characters of a name or number, those of the JSON of messages end after 1,000 bytes, and a log line of more than 8 KiB is shortened to its event, its size and the beginning of its text, so that the queue of lines is bounded in bytes whatever is logged.

--- a/claim/session.go
+++ b/claim/session.go
@@ -27,7 +27,7 @@
 
 // Error returns a message with the text and the malformed part.
 func (e *SessionNameError) Error() string {
-	return fmt.Sprintf("session name %q: bad %s", e.Text, e.Part)
+	return fmt.Sprintf("session name %.100q: bad %s", e.Text, e.Part)
 }
 
 // FormatSession returns the name "<data centre>.<epoch>.<id>", with the numbers in base 32.
--- a/codec/json.go
+++ b/codec/json.go
@@ -62,8 +62,14 @@
 }
 
 func jsonError(err error) *JSONError {
+	// The text quotes names of any length, after the position.
+	const maxText = 1000
+	text := err.Error()
+	if len(text) > maxText {
+		text = strings.ToValidUTF8(text[:maxText], "") + "..."
+	}
 	// protojson deliberately varies the space after its prefix, so that callers don't rely on the text.
-	text := strings.ReplaceAll(err.Error(), "\u00a0", " ")
+	text = strings.ReplaceAll(text, "\u00a0", " ")
 	e := &JSONError{Line: 1, Column: 1, Reason: strings.TrimSpace(strings.TrimPrefix(text, "proto:"))}
 	if pos := positionPattern.FindStringSubmatch(text); pos != nil {
 		e.Line, _ = strconv.Atoi(pos[1])
--- a/events/event.go
+++ b/events/event.go
@@ -42,7 +42,7 @@
 	zerolog.MessageFieldName = "Message"
 	zerolog.ErrorFieldName = "Error"
 	zerolog.TimeFieldFormat = time.RFC3339Nano
-	out := zerolog.New(w).Level(parseLevel(level)).With().Timestamp().Str("Host", host).Logger()
+	out := zerolog.New(shortWriter{w}).Level(parseLevel(level)).With().Timestamp().Str("Host", host).Logger()
 	l := Logger{out: out}
 	for _, opt := range opts {
 		opt(&l)
--- a/events/output.go
+++ b/events/output.go
@@ -1,6 +1,9 @@
 package events
 
 import (
+	"bytes"
+	"encoding/json"
+	"fmt"
 	"io"
 
 	"github.com/rs/zerolog/diode"
@@ -10,6 +13,43 @@
 // rate.
 const queueLines = 4096
 
+// maxLine is the size in bytes of the longest line that is written as it is, and keptText the part of a longer one that
+// is kept. Lines quote what clients send.
+const (
+	maxLine  = 8 << 10
+	keptText = 2 << 10
+)
+
+// shortWriter shortens lines that are longer than maxLine to their first fields, their size and the beginning of their
+// text.
+type shortWriter struct {
+	io.Writer
+}
+
+// Write writes one line.
+func (w shortWriter) Write(p []byte) (int, error) {
+	short := p
+	if len(p) > maxLine {
+		short = shorten(p)
+	}
+	if _, err := w.Writer.Write(short); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+func shorten(line []byte) []byte {
+	first := []byte("{")
+	if i := bytes.Index(line[:keptText], []byte(`,"Name":`)); i >= 0 {
+		first = append(bytes.Clone(line[:i]), ',')
+	}
+	text, err := json.Marshal(string(line[:keptText]))
+	if err != nil {
+		text = []byte(`""`)
+	}
+	return fmt.Appendf(first, `"LongLine":%d,"Text":%s}`+"\n", len(line), text)
+}
+
 // NewAsyncWriter returns a writer that never blocks: lines are queued for w in a bounded queue, and
 // the oldest are dropped when it is full. onDrop is called with the number of dropped lines. Close
 // flushes the queue.
--- a/events/output_test.go
+++ b/events/output_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -93,3 +94,33 @@
 		t.Fatalf("%d left out, lines %s", log.LeftOut(), text)
 	}
 }
+
+// TestLongLine guards against lines that quote what a client sent, megabytes of it, and against a shortened line that
+// no reader of JSON takes.
+func TestLongLine(t *testing.T) {
+	tests := map[string]struct {
+		text string
+		long bool
+	}{
+		"short":    {text: "x"},
+		"long":     {text: strings.Repeat("x", 1<<20), long: true},
+		"quotes":   {text: strings.Repeat("\"", 1<<20), long: true},
+		"no UTF-8": {text: strings.Repeat("\xff", 1<<20), long: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			New(&out, "Info", "h").At(JobMalformed).Str("Error", tt.text).Send()
+			var line struct {
+				Host, Error, Text string
+				Event, LongLine   int
+			}
+			if err := json.Unmarshal(out.Bytes(), &line); err != nil || out.Len() > maxLine {
+				t.Fatalf("a line of %d bytes: %v", out.Len(), err)
+			}
+			if line.Host != "h" || line.Event != JobMalformed.Code || (line.LongLine > 0) != tt.long || strings.Contains(line.Text, "JobMalformed") != tt.long {
+				t.Errorf("got %+v", line)
+			}
+		})
+	}
+}
--- a/jobs/plan.go
+++ b/jobs/plan.go
@@ -16,7 +16,7 @@
 	}
 	plan, ok := r.lists.Plan(sub.Customer)
 	if !ok {
-		reason := fmt.Sprintf("version %d of the list of customers does not name %q", r.lists.Update.Version, sub.Customer)
+		reason := fmt.Sprintf("version %d of the list of customers does not name %.100q", r.lists.Update.Version, sub.Customer)
 		return &model.RefusalError{Code: model.CodeUnknownCustomer, Field: "Customer", Reason: reason}
 	}
 	line := r.lists.Parsed.PlanLines[plan.Name]
@@ -26,7 +26,7 @@
 	}
 	for i, t := range sub.Tasks {
 		if !slices.Contains(plan.Services, t.Service) {
-			reason := fmt.Sprintf("service %q is not among the Services of plan %s (line %d of the list of plans)", t.Service, plan.Name, line)
+			reason := fmt.Sprintf("service %.100q is not among the Services of plan %s (line %d of the list of plans)", t.Service, plan.Name, line)
 			return &model.RefusalError{Code: model.CodeServiceNotInPlan, Field: fmt.Sprintf("Tasks[%d].Service", i), Reason: reason}
 		}
 	}
--- a/lists/explain.go
+++ b/lists/explain.go
@@ -22,7 +22,7 @@
 	if !ok {
 		return Explanation{}, &model.RefusalError{
 			Code:   model.CodeUnknownCustomer,
-			Reason: fmt.Sprintf("version %d of the list of customers doesn't name %q", a.Update.Version, customer),
+			Reason: fmt.Sprintf("version %d of the list of customers doesn't name %.100q", a.Update.Version, customer),
 			Field:  "Customer",
 			NotRun: true,
 		}
--- a/routes/check.go
+++ b/routes/check.go
@@ -71,13 +71,13 @@
 		for i, r := range d.Routes {
 			key := strings.ToLower(r.Authority) + " " + r.Prefix
 			other, duplicate := names[key]
-			if duplicate && !yield(invalid(i, "Prefix", "route %q has the host and prefix of route %q", r.Name, other)) {
+			if duplicate && !yield(invalid(i, "Prefix", "route %.100q has the host and prefix of route %.100q", r.Name, other)) {
 				return
 			}
-			if !services[r.Service] && !yield(invalid(i, "Service", "route %q names service %q, which isn't listed", r.Name, r.Service)) {
+			if !services[r.Service] && !yield(invalid(i, "Service", "route %.100q names service %.100q, which isn't listed", r.Name, r.Service)) {
 				return
 			}
-			if r.Timeout <= 0 && !yield(invalid(i, "Timeout", "route %q has no timeout", r.Name)) {
+			if r.Timeout <= 0 && !yield(invalid(i, "Timeout", "route %.100q has no timeout", r.Name)) {
 				return
 			}
 			if !duplicate {
