intake: bound the versions of a configuration that are being sent

Clients that read the configuration slowly while operators changed it took a core host of 280 MB to 382 MB. All who read a version share its bytes, but each version that somebody still reads stays in memory, and a client that takes 64 KiB within 10 s may read for an hour.

Change: the gate knows which versions are being sent. When those that have been replaced take more than a sixteenth of the memory, the connections with the oldest ones are closed (EvictOutdated), counted as Outdated. Who reads the newest one is never closed; responses of up to 64 KiB aren't followed.

--- a/hosted/limits.go
+++ b/hosted/limits.go
@@ -12,6 +12,7 @@
 type clientShare struct {
 	memory    float64 // of the memory limit, for bodies that are being read; reading takes up to twice that
 	leastBody int64   // bytes for bodies that are granted whatever the memory limit is
+	outdated  float64 // of the memory limit, for older versions of a document that are being sent
 	contents  float64 // of the memory limit, for what bodies take once they are decoded
 	conns     float64 // of the descriptors
 	body      int64   // bytes of one body
@@ -60,7 +61,7 @@
 // coreShares are the shares of a core host. One configuration of the largest size is read whatever the
 // memory limit is, and one message with it.
 var coreShares = map[string]clientShare{
-	"control":         {memory: 1. / 6, leastBody: configBody, contents: 1. / 4, conns: 0.33, body: configBody, large: largeConfig, unread: unreadOfCore},
+	"control":         {memory: 1. / 6, leastBody: configBody, contents: 1. / 4, outdated: 1. / 16, conns: 0.33, body: configBody, large: largeConfig, unread: unreadOfCore},
 	"operators":       {memory: 1. / 256, leastBody: noBody, conns: 0.02, body: noBody, unread: unreadOfMany},
 	msgs.ServicePeers: {memory: 1. / 6, leastBody: messageBody, contents: 1. / 8, conns: 0.3, body: messageBody, messages: true, unread: unreadOfCore},
 }
@@ -93,6 +94,7 @@
 		BodyBytes: share.body,
 		AllBodies: max(int64(share.memory*float64(memory)), share.leastBody),
 		Contents:  max(int64(share.contents*float64(memory)), leastContents),
+		Outdated:  int64(share.outdated * float64(memory)),
 		Large:     share.large,
 		Messages:  share.messages,
 		Unread:    share.unread,
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -28,6 +28,7 @@
 	bytes     atomic.Int64  // charged for the body
 	content   atomic.Int64  // charged for its decoded content
 	announced atomic.Int64  // size of the body, not positive if unknown
+	sends     atomic.Uint64 // version of the document that is being sent, 0 for none
 	closed    atomic.Bool
 	lingers   atomic.Bool // Close has begun to wait for the client
 	arrived   atomic.Bool // whether the body of the present request was read to its end
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -32,6 +32,7 @@
 	waiters   atomic.Int64 // len(waiting), and one more while a shortage is handled
 	lastSweep time.Time
 	turns     []*turn // of large bodies; only the first may be granted
+	sending   []sendBegun
 }
 
 // shortage is the request for bytes, or for connections if bytes is 0.
@@ -55,6 +56,7 @@
 	limits.BodyBytes = cmp.Or(limits.BodyBytes, math.MaxInt64)
 	limits.AllBodies = cmp.Or(limits.AllBodies, math.MaxInt64)
 	limits.Contents = cmp.Or(limits.Contents, math.MaxInt64)
+	limits.Outdated = cmp.Or(limits.Outdated, math.MaxInt64)
 	if closed == nil {
 		closed = func(Closed) {}
 	}
@@ -78,6 +80,8 @@
 		g.retry()
 	case turnAsked, turnEnded:
 		g.handleTurn(m, now)
+	case sendBegun, sendEnded:
+		g.handleSend(m)
 	case shortage:
 		if m.bytes > 0 {
 			g.waiters.Add(1)
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -8,6 +8,7 @@
 	BodyBytes int64 // size of one body
 	AllBodies int64 // bytes of all bodies that are being read or decoded. Reading a body takes up to twice its size
 	Contents  int64 // bytes that the contents of all bodies take once they are decoded, see WithWeight
+	Outdated  int64 // bytes of older versions of a document that are being sent, see Send
 	Large     int64 // size from which bodies are read and used one after the other, 0 for no such size
 	Messages  bool  // the bodies are messages between hosts: EvictMessages decides
 	Unread    int   // bytes that the system receives for a connection before the process reads them, 0 for the system's default
@@ -78,11 +79,12 @@
 	Framing          // the chunks of the body are too small
 	Unread           // the client doesn't read its response
 	Turn             // other large bodies were read and used all the time
+	Outdated         // the response is a version of a document that has been replaced
 	Content          // the content of the body would take too much memory once it is decoded
 	reasons
 )
 
-var reasonNames = [reasons]string{"None", "Connections", "AllBodies", "BodySize", "Stalled", "Slow", "Framing", "Unread", "Turn", "Content"}
+var reasonNames = [reasons]string{"None", "Connections", "AllBodies", "BodySize", "Stalled", "Slow", "Framing", "Unread", "Turn", "Outdated", "Content"}
 
 // String returns the name of the reason in logs and metrics.
 func (r Reason) String() string {
