peers: bound the hosts that an inbox tracks

Batches that each name another host took an entry host of 144 MB to 308 MB, and it never came back: the inbox remembered each name for good, whatever its length, to recognise batches that are sent again.

Change: names are those that are valid in messages, of up to 255 bytes, and 1,200 hosts are tracked. At the bound a host that has sent nothing for a minute is forgotten; a batch of a new one isn't accepted otherwise, which its sender repeats. An active host is never forgotten, since its messages could be accepted twice. Counted in PeerRefused, logged as 205.

TestManyNames: with 3,600 names a known host's batches are still accepted, and those of a new host once the others have been silent.

--- a/crowd/batch_test.go
+++ b/crowd/batch_test.go
@@ -1,7 +1,9 @@
 package crowd
 
 import (
+	"bytes"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -73,3 +75,29 @@
 		}
 	}
 }
+
+// TestNamesOfHosts guards against a process that remembers each name under which a batch was sent.
+func TestNamesOfHosts(t *testing.T) {
+	skipUnlessMeasurable(t)
+	const batches, from, reliable = 300, 1, 3
+	s := startSized(t, coreMemoryMB, leastEntryMB)
+	stop := make(chan struct{})
+	entry := s.entry.watch(stop)
+	taken := 0
+	for i := range batches {
+		name := append([]byte(strconv.Itoa(i)), bytes.Repeat([]byte("x"), jobBytes-1000)...)
+		body := append(nested(from, name), reliable<<3, 1)
+		a, err := http.Post("http://"+at(s.entryIP, peerPort)+deliver, "application/protobuf", bytes.NewReader(body))
+		if err != nil {
+			continue // refused
+		}
+		if a.StatusCode == http.StatusOK {
+			taken++
+		}
+		_ = a.Body.Close()
+	}
+	waitUntil(t, "a complete job", s.submit)
+	close(stop)
+	t.Logf("%d batches taken", taken)
+	checkMemory(t, "entry", s.entry, (<-entry).memory, leastEntryMB)
+}
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -36,6 +36,7 @@
 	b := &peers.Inbox{
 		Incarnation: h.self.Incarnation, Log: h.Log, OnSent: h.countSent,
 		Limits: limits, OnClosed: h.clientsClosed(msgs.ServicePeers),
+		OnRefused: func(reason string) { h.Metrics.PeerRefused.WithLabelValues(reason).Inc() },
 	}
 	return b.Service(h.self.Address, h.Settings.Timing.CallTimeout)
 }
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -64,6 +64,11 @@
 		Meaning: "A message to a service of another host can't be encoded and was dropped, so that those behind it are delivered.",
 		Action:  "Report the line: what comes from outside should have been checked before.",
 	}
+	PeerUntracked = Event{
+		Code: 205, Name: "PeerUntracked", Level: zerolog.WarnLevel, Fields: []string{"Peer", "Reason", "Hosts"},
+		Meaning: "A batch of messages of another host wasn't accepted, as its name isn't valid (Name) or as more hosts send messages than are tracked (Hosts).",
+		Action:  "Look for what else sends to the port for other hosts.",
+	}
 	PrimaryChanged = Event{
 		Code: 300, Name: "PrimaryChanged", Level: zerolog.InfoLevel, Fields: []string{"Primary", "View"},
 		Meaning: "Another host leads the data centre's group.",
@@ -135,7 +140,7 @@
 func Catalogue() []Event {
 	return append([]Event{
 		Started, Stopping, Stopped, ServicePanicked, Failed, DiskLost, ClientsClosed,
-		PeerUnreachable, PeerReachable, PeerDiscarded, PeerMoved, PeerMessageInvalid,
+		PeerUnreachable, PeerReachable, PeerDiscarded, PeerMoved, PeerMessageInvalid, PeerUntracked,
 		PrimaryChanged, LeaseLost, HostExpelled, HostLeft, ServingAlone, ServingAloneEnded,
 		BackendServerAnnounced, BackendServerLapsed, BackendServerLeft,
 		BackendServerEjected, BackendServerRestored,
--- a/hosted/host.go
+++ b/hosted/host.go
@@ -89,6 +89,7 @@
 	inbox := &peers.Inbox{
 		Incarnation: h.self.Incarnation, Log: h.Log, OnSent: h.sent,
 		Limits: s.intakeLimits(msgs.ServicePeers), OnClosed: h.clientsClosed(msgs.ServicePeers),
+		OnRefused: func(reason string) { h.Metrics.PeerRefused.WithLabelValues(reason).Inc() },
 	}
 	services := []kernel.Service{inbox.Service(cmp.Or(s.PeerListen, h.self.Address), callTimeout)}
 	if s.DataFolder != "" {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -20,6 +20,7 @@
 	TaskResults     *prometheus.CounterVec // task calls ended, by Result
 	PeerMessages    *prometheus.CounterVec // messages to other hosts, by Outcome
 	PeerBytes       *prometheus.CounterVec // bytes to other hosts, by Lane
+	PeerRefused     *prometheus.CounterVec // batches of other hosts that weren't accepted, by Reason
 	PeerSentBytes   prometheus.Counter     // bytes sent to other hosts, HTTP headers included
 	ClientsClosed   *prometheus.CounterVec // connections of clients that were closed, by Listener and Reason
 	ResponseRatio   prometheus.Histogram   // response time of a job divided by the run time of its slowest task
@@ -42,6 +43,7 @@
 		TaskResults:     newCounterVec("TaskResults_total", "Task calls ended.", "Result"),
 		PeerMessages:    newCounterVec("PeerMessages_total", "Messages to other hosts.", "Outcome"),
 		PeerBytes:       newCounterVec("PeerBytes_total", "Bytes to other hosts.", "Lane"),
+		PeerRefused:     newCounterVec("PeerRefused_total", "Batches of other hosts that weren't accepted.", "Reason"),
 		PeerSentBytes:   prometheus.NewCounter(prometheus.CounterOpts{Name: "dogwoodrock_PeerSent_bytes_total", Help: "Bytes sent to other hosts, HTTP heads included."}),
 		ClientsClosed:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "dogwoodrock_ClientsClosed_total", Help: "Connections of clients that were closed by the limits."}, []string{"Listener", "Reason"}),
 		ResponseRatio: prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -61,7 +63,7 @@
 		}),
 		registry: prometheus.NewRegistry(),
 	}
-	s.registry.MustRegister(s.Refusals, s.PlacingRefusals, s.Failures, s.Retries, s.Jobs, s.TaskResults, s.PeerMessages, s.PeerBytes, s.PeerSentBytes,
+	s.registry.MustRegister(s.Refusals, s.PlacingRefusals, s.Failures, s.Retries, s.Jobs, s.TaskResults, s.PeerMessages, s.PeerBytes, s.PeerSentBytes, s.PeerRefused,
 		s.ClientsClosed, s.ResponseRatio, s.ListsVersion, s.ListsDelay, s.JobsInFlight, s.AloneTasks,
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return s
--- a/peers/inbox.go
+++ b/peers/inbox.go
@@ -2,12 +2,15 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
+	"time"
 
 	"dogwoodrock.example/dogwoodrock/codec"
 	"dogwoodrock.example/dogwoodrock/events"
 	"dogwoodrock.example/dogwoodrock/intake"
 	"dogwoodrock.example/dogwoodrock/kernel"
+	"dogwoodrock.example/dogwoodrock/model"
 	"dogwoodrock.example/dogwoodrock/msgs"
 	"dogwoodrock.example/dogwoodrock/wire"
 )
@@ -23,6 +26,27 @@
 // exceed it.
 const maxSenders = 16
 
+const (
+	// maxHosts is the maximum number of remote hosts tracked. A system of 300 hosts has a quarter of it.
+	maxHosts = 1200
+
+	// forgetAfter is the time after which a remote host may be forgotten that has sent nothing. Batches that are
+	// repeated come within seconds.
+	forgetAfter = time.Minute
+)
+
+// Reasons for which a batch isn't accepted.
+const (
+	refusedName  = "Name"  // the name of the host isn't valid
+	refusedHosts = "Hosts" // more hosts send messages than are tracked
+)
+
+// remote is what is known of a remote host.
+type remote struct {
+	senders []*sender // the most recently active process last
+	active  time.Time // when the last batch arrived
+}
+
 // sender is the state of the reliable link from one process of a remote host.
 // Incarnations aren't ordered, so an unknown process may be newer or older than
 // the known ones.
@@ -39,14 +63,15 @@
 	OnSent      func(bytes int)     // called with the bytes sent in responses, by several tasks
 	Limits      intake.Limits       // of the listener
 	OnClosed    func(intake.Closed) // called about connections that the listener closed, nil for none
+	OnRefused   func(reason string) // called about each batch that isn't accepted from a host, nil for none
 
-	senders map[string][]*sender // by host, the most recently active process last
+	hosts map[string]*remote
 }
 
-func (b *Inbox) handle(m incoming) {
+func (b *Inbox) handle(m incoming, now time.Time) {
 	acceptedSeq := uint64(0)
 	if m.batch.GetReliable() {
-		acceptedSeq = b.acceptReliable(m.batch)
+		acceptedSeq = b.acceptReliable(m.batch, now)
 	} else {
 		for _, e := range m.batch.GetEnvelopes() {
 			_ = b.dispatch(e)
@@ -57,9 +82,13 @@
 
 // acceptReliable dispatches the messages not yet accepted, in order, and stops at
 // the first whose service is full. It returns the sequence number of the last
-// message accepted.
-func (b *Inbox) acceptReliable(batch *wire.Batch) uint64 {
-	s := b.senderOf(batch)
+// message accepted. It accepts none from a host that can't be tracked.
+func (b *Inbox) acceptReliable(batch *wire.Batch, now time.Time) uint64 {
+	host := b.remoteOf(batch.GetFrom(), now)
+	if host == nil {
+		return batch.GetFirstSeq() - 1
+	}
+	s := host.senderOf(batch)
 	for i, e := range batch.GetEnvelopes() {
 		seq := batch.GetFirstSeq() + uint64(i)
 		if seq <= s.lastSeq {
@@ -74,18 +103,52 @@
 	return s.lastSeq
 }
 
+// remoteOf returns what is known of a remote host, and adds an unknown one. It returns nil for an invalid name and if
+// maxHosts have been active lately: forgetting one of those could deliver its messages twice.
+func (b *Inbox) remoteOf(name string, now time.Time) *remote {
+	host := b.hosts[name]
+	switch {
+	case host != nil:
+	case !model.ValidName(name):
+		b.refuse("", refusedName)
+		return nil
+	case len(b.hosts) >= maxHosts && !b.forget(now):
+		b.refuse(name, refusedHosts)
+		return nil
+	default:
+		host = &remote{}
+		b.hosts[name] = host
+	}
+	host.active = now
+	return host
+}
+
+// refuse counts and logs a batch that isn't accepted.
+func (b *Inbox) refuse(host, reason string) {
+	b.Log.At(events.PeerUntracked).Str("Peer", host).Str("Reason", reason).Int("Hosts", len(b.hosts)).Send()
+	if b.OnRefused != nil {
+		b.OnRefused(reason)
+	}
+}
+
+// forget removes the hosts that haven't been active for forgetAfter, and reports whether there are any.
+func (b *Inbox) forget(now time.Time) bool {
+	before := len(b.hosts)
+	maps.DeleteFunc(b.hosts, func(_ string, h *remote) bool { return now.Sub(h.active) >= forgetAfter })
+	return len(b.hosts) < before
+}
+
 // senderOf returns the state of the process that sent the batch. It adds an unknown
 // process and evicts the least recently active one above maxSenders.
-func (b *Inbox) senderOf(batch *wire.Batch) *sender {
-	list := b.senders[batch.GetFrom()]
+func (h *remote) senderOf(batch *wire.Batch) *sender {
 	s := &sender{incarnation: batch.GetIncarnation()}
-	if i := slices.IndexFunc(list, func(known *sender) bool { return known.incarnation == s.incarnation }); i >= 0 {
-		s = list[i]
-		list = slices.Delete(list, i, i+1)
-	} else if len(list) == maxSenders {
-		list = slices.Delete(list, 0, 1)
+	if i := slices.IndexFunc(h.senders, func(known *sender) bool { return known.incarnation == s.incarnation }); i >= 0 {
+		s = h.senders[i]
+		h.senders = slices.Delete(h.senders, i, i+1)
+	} else if len(h.senders) == maxSenders {
+		h.senders = slices.Delete(h.senders, 0, 1)
 	}
-	b.senders[batch.GetFrom()] = append(list, s)
+	h.senders = append(h.senders, s)
 	// The sender never repeats messages before FirstSeq: a previous process of this
 	// host accepted them, or the sender discarded them.
 	s.lastSeq = max(s.lastSeq, batch.GetFirstSeq()-1)
--- a/peers/inbox_test.go
+++ b/peers/inbox_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"dogwoodrock.example/dogwoodrock/codec"
+	"dogwoodrock.example/dogwoodrock/events"
 	"dogwoodrock.example/dogwoodrock/msgs"
 	"dogwoodrock.example/dogwoodrock/wire"
 )
@@ -79,3 +82,42 @@
 		})
 	}
 }
+
+// TestManyNames guards against batches that name ever new hosts, each of which was remembered for good, and against
+// forgetting a host that is active, whose messages would be accepted twice.
+func TestManyNames(t *testing.T) {
+	const names = 3 * maxHosts
+	deliver := func(b *Inbox, from string, now time.Time) uint64 {
+		return b.acceptReliable(&wire.Batch{From: from, Incarnation: 7, Reliable: true, FirstSeq: 5, Envelopes: []*wire.Envelope{{}}}, now)
+	}
+	const taken, refused = 5, 4
+	tests := map[string]struct {
+		name string
+		wait time.Duration // between two batches of the crowd
+		want uint64        // for the name after the crowd
+	}{
+		"a known host":            {name: "known", want: taken},
+		"a new host, full":        {name: "new", want: refused},
+		"a new host, some silent": {name: "new", wait: time.Second, want: taken},
+		"a long name":             {name: strings.Repeat("x", 1000), want: refused},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			refusals := 0
+			b := &Inbox{hosts: map[string]*remote{}, Log: events.Nop(), OnRefused: func(string) { refusals++ }}
+			now := time.Now()
+			deliver(b, "known", now)
+			for i := range names {
+				now = now.Add(tt.wait)
+				deliver(b, fmt.Sprintf("host-%d", i), now)
+				deliver(b, "known", now)
+			}
+			if got := deliver(b, tt.name, now); got != tt.want {
+				t.Errorf("accepted up to %d, want %d", got, tt.want)
+			}
+			if len(b.hosts) > maxHosts || (refusals == 0) != (tt.wait > 0) {
+				t.Errorf("%d hosts tracked, %d batches refused", len(b.hosts), refusals)
+			}
+		})
+	}
+}
--- a/peers/server.go
+++ b/peers/server.go
@@ -59,7 +59,7 @@
 		Every: intake.SweepInterval,
 		Start: func(t *kernel.Task) error {
 			b.Find = t.Find
-			b.senders = map[string][]*sender{}
+			b.hosts = map[string]*remote{}
 			l, err := t.Env.Listen(t.Context(), "tcp", address)
 			if err != nil {
 				return err
@@ -76,7 +76,7 @@
 		},
 		Handle: func(t *kernel.Task, msg any) {
 			if !gate.Handle(msg, t.Env.Now()) {
-				b.handle(msg.(incoming))
+				b.handle(msg.(incoming), t.Env.Now())
 			}
 		},
 		Tick: func(t *kernel.Task) { gate.Sweep(t.Env.Now()) },
