hosted: least budgets of a core host follow its largest configuration

A core host granted 64 MiB to the bodies at its control listener and 65 MiB to messages whatever its memory is, while it takes no configuration larger than a twelfth of its memory: on one of 280 MB, two crowds could hold 129 MiB in bodies, twice that while they are read. The bounds of the listeners have to hold together.

--- a/hosted/limits.go
+++ b/hosted/limits.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"dogwoodrock.example/dogwoodrock/core"
 	"dogwoodrock.example/dogwoodrock/events"
 	"dogwoodrock.example/dogwoodrock/intake"
 	"dogwoodrock.example/dogwoodrock/msgs"
@@ -92,7 +93,7 @@
 	return intake.Limits{
 		Conns:     max(int(math.Min(share.conns*float64(fds), defaultFDs)), 1),
 		BodyBytes: share.body,
-		AllBodies: max(int64(share.memory*float64(memory)), share.leastBody),
+		AllBodies: max(int64(share.memory*float64(memory)), s.leastBodies(share)),
 		Contents:  max(int64(share.contents*float64(memory)), leastContents),
 		Outdated:  int64(share.outdated * float64(memory)),
 		Large:     share.large,
@@ -101,6 +102,15 @@
 	}
 }
 
+// leastBodies returns the bytes for bodies that a listener grants whatever its share of the memory is. A host of the core
+// needs no more than its largest configuration in a message.
+func (s Settings) leastBodies(share clientShare) int64 {
+	if s.DataFolder == "" || s.MemoryBytes <= 0 {
+		return share.leastBody
+	}
+	return min(share.leastBody, core.MaxRoutes(s.MemoryBytes, s.DiskBytes)+messageBody-configBody)
+}
+
 // clientsClosed returns the function that counts and logs the connections that a listener has closed.
 func (h *Host) clientsClosed(listener string) func(intake.Closed) {
 	return func(c intake.Closed) {
