hosted: bound what the system receives for all connections of a listener

With as many connections as the smallest hosts have descriptors for and crowds at all their listeners, a core host of 280 MB took 345 to 362 MB and an entry host of 144 MB 138 to 144 MB. Up to 150 MB of a core host's were bytes that the system had received and the process hadn't read: each connection was granted 128 KiB, whatever their number.

Change: the connections of a listener share a part of the memory (an eighth for messages between hosts and at the control listener, a sixteenth for callers, a thirty-second for reports); each gets at least 8 KiB. The connection of a large configuration in its turn, of which there is one, still gets 128 KiB, so that such orders arrive as fast as before.

TestLargeOrders: all 8 orders of 20, 10 and 8 MiB are served.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -155,8 +155,8 @@
 	waitUntil(t, "an ordinary request after the crowd", func() bool { return !p.alive() || ordinary() })
 	close(stop)
 	most := <-result
-	t.Logf("memory %d MB, before the crowd %d MB; descriptors %d, before the crowd %d",
-		most.memory>>20, before.memory>>20, most.descriptors, before.descriptors)
+	t.Logf("memory %d MB, of which %d MB aren't read, before the crowd %d MB; descriptors %d, before the crowd %d",
+		most.memory>>20, most.unread>>20, before.memory>>20, most.descriptors, before.descriptors)
 	if !p.alive() {
 		t.Error("the process has ended")
 	}
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -29,6 +29,7 @@
 // use is what a process occupies.
 type use struct {
 	memory      int64 // bytes: resident, and received by the system for its sockets but not read yet
+	unread      int64 // the part of memory that the system has received
 	descriptors int
 }
 
@@ -72,7 +73,10 @@
 		var most use
 		for {
 			now := p.measure()
-			most.memory, most.descriptors = max(most.memory, now.memory), max(most.descriptors, now.descriptors)
+			if now.memory > most.memory {
+				most.memory, most.unread = now.memory, now.unread
+			}
+			most.descriptors = max(most.descriptors, now.descriptors)
 			select {
 			case <-stop:
 				most.memory = max(most.memory, p.status("VmHWM:"))
@@ -103,7 +107,8 @@
 // measure returns the present use of the process. What can't be read, as the process has exited, counts 0.
 func (p *process) measure() use {
 	entries, _ := os.ReadDir(p.folder("fd"))
-	return use{memory: p.status("VmRSS:") + p.unread(), descriptors: len(entries)}
+	unread := p.unread()
+	return use{memory: p.status("VmRSS:") + unread, unread: unread, descriptors: len(entries)}
 }
 
 func (p *process) folder(name string) string {
--- a/hosted/limits.go
+++ b/hosted/limits.go
@@ -19,7 +19,8 @@
 	body      int64   // bytes of one body
 	large     int64   // bytes from which bodies are read one after the other
 	messages  bool    // the bodies are messages between hosts
-	unread    int     // bytes that the system receives for a connection
+	unread    int     // bytes that the system receives for a connection, at most
+	unreadAll float64 // of the memory limit, for what it receives for all of them
 }
 
 // Sizes of bodies, in bytes.
@@ -46,25 +47,28 @@
 	unreadOfMany  = 16 << 10
 	unreadOfHosts = 32 << 10
 	unreadOfCore  = 128 << 10
+
+	// leastUnread is received for a connection whatever the memory limit is: within a round trip of 6 ms, 11 Mbit/s.
+	leastUnread = 8 << 10
 )
 
 // entryShares are the shares of an entry host by listener. A third of the descriptors is left for
 // connections to backend servers and to other hosts, and half of the memory for the other work. Each other
 // host may keep two connections for messages: with 300 hosts they are 600 at a placer.
 var entryShares = map[string]clientShare{
-	"callers":         {memory: 1. / 16, leastBody: 2 * jobBody, contents: 1. / 16, conns: 0.25, body: jobBody, unread: unreadOfMany},
-	"beats":           {memory: 1. / 32, leastBody: reportBody, contents: 1. / 32, conns: 0.13, body: reportBody, unread: unreadOfHosts},
-	"readiness":       {memory: 1. / 256, leastBody: noBody, conns: 0.02, body: noBody, unread: unreadOfMany},
-	"operators":       {memory: 1. / 256, leastBody: noBody, conns: 0.02, body: noBody, unread: unreadOfMany},
-	msgs.ServicePeers: {memory: 1. / 16, leastBody: 2 << 20, contents: 1. / 16, conns: 0.25, body: messageBody, messages: true, unread: unreadOfHosts},
+	"callers":         {memory: 1. / 16, leastBody: 2 * jobBody, contents: 1. / 16, conns: 0.25, body: jobBody, unread: unreadOfMany, unreadAll: 1. / 16},
+	"beats":           {memory: 1. / 32, leastBody: reportBody, contents: 1. / 32, conns: 0.13, body: reportBody, unread: unreadOfHosts, unreadAll: 1. / 32},
+	"readiness":       {memory: 1. / 256, leastBody: noBody, conns: 0.02, body: noBody, unread: unreadOfMany, unreadAll: 1. / 256},
+	"operators":       {memory: 1. / 256, leastBody: noBody, conns: 0.02, body: noBody, unread: unreadOfMany, unreadAll: 1. / 256},
+	msgs.ServicePeers: {memory: 1. / 16, leastBody: 2 << 20, contents: 1. / 16, conns: 0.25, body: messageBody, messages: true, unread: unreadOfHosts, unreadAll: 1. / 8},
 }
 
 // coreShares are the shares of a core host. One configuration of the largest size is read whatever the
 // memory limit is, and one message with it.
 var coreShares = map[string]clientShare{
-	"control":         {memory: 1. / 6, leastBody: configBody, contents: 1. / 4, outdated: 1. / 16, conns: 0.33, body: configBody, large: largeConfig, unread: unreadOfCore},
-	"operators":       {memory: 1. / 256, leastBody: noBody, conns: 0.02, body: noBody, unread: unreadOfMany},
-	msgs.ServicePeers: {memory: 1. / 6, leastBody: messageBody, contents: 1. / 8, conns: 0.3, body: messageBody, messages: true, unread: unreadOfCore},
+	"control":         {memory: 1. / 6, leastBody: configBody, contents: 1. / 4, outdated: 1. / 16, conns: 0.33, body: configBody, large: largeConfig, unread: unreadOfCore, unreadAll: 1. / 8},
+	"operators":       {memory: 1. / 256, leastBody: noBody, conns: 0.02, body: noBody, unread: unreadOfMany, unreadAll: 1. / 256},
+	msgs.ServicePeers: {memory: 1. / 6, leastBody: messageBody, contents: 1. / 8, conns: 0.3, body: messageBody, messages: true, unread: unreadOfCore, unreadAll: 1. / 8},
 }
 
 // Values for a process without limits in its settings.
@@ -90,18 +94,25 @@
 	if fds <= 0 {
 		fds = defaultFDs
 	}
+	conns := max(int(math.Min(share.conns*float64(fds), defaultFDs)), 1)
 	return intake.Limits{
-		Conns:     max(int(math.Min(share.conns*float64(fds), defaultFDs)), 1),
+		Conns:     conns,
 		BodyBytes: share.body,
 		AllBodies: max(int64(share.memory*float64(memory)), s.leastBodies(share)),
 		Contents:  max(int64(share.contents*float64(memory)), leastContents),
 		Outdated:  int64(share.outdated * float64(memory)),
 		Large:     share.large,
 		Messages:  share.messages,
-		Unread:    share.unread,
+		Unread:    share.unreadBytes(memory, conns),
+		Wide:      share.unread,
 	}
 }
 
+// unreadBytes returns the bytes that the system receives for each of the connections.
+func (s clientShare) unreadBytes(memory int64, conns int) int {
+	return min(s.unread, max(int(s.unreadAll*float64(memory))/conns, leastUnread))
+}
+
 // leastBodies returns the bytes for bodies that a listener grants whatever its share of the memory is. A host of the core
 // needs no more than its largest configuration in a message.
 func (s Settings) leastBodies(share clientShare) int64 {
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -12,6 +12,7 @@
 	Large     int64 // size from which bodies are read and used one after the other, 0 for no such size
 	Messages  bool  // the bodies are messages between hosts: EvictMessages decides
 	Unread    int   // bytes that the system receives for a connection before the process reads them, 0 for the system's default
+	Wide      int   // the same for the connection whose large body is read in its turn, 0 for no other value
 }
 
 const (
--- a/intake/turn.go
+++ b/intake/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -63,9 +64,17 @@
 		return &RefusedError{Reason: Turn}
 	}
 	m.turn = t
+	m.conn.receive(m.gate.limits.Wide)
 	return nil
 }
 
+// receive sets what the system receives on a connection before the process reads it.
+func (c *conn) receive(bytes int) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.gate.limits.Wide > c.gate.limits.Unread {
+		_ = tcp.SetReadBuffer(bytes) // if it fails, the connection is slower
+	}
+}
+
 // needsTurn reports whether a body of this size has to be read in its turn and has none yet.
 func (m *meter) needsTurn(size int64) bool {
 	return m.gate != nil && m.gate.limits.Large > 0 && size > m.gate.limits.Large && m.turn == nil
@@ -81,6 +90,7 @@
 // end ends the turn. It may be called again.
 func (t *turn) end() {
 	if t != nil && t.state.Swap(turnOver) != turnOver {
+		t.conn.receive(t.gate.limits.Unread)
 		t.gate.task.Reply(turnEnded{t})
 	}
 }
