weight: count lists within lists by what their elements take

A job of 262,144 bytes, the most that a job may have, with one step after 130,000 others weighed 33 MB, as a number in a list was counted like a step: it would have been refused for its content (413) instead of as a job of several steps.

--- a/body/body.go
+++ b/body/body.go
@@ -21,7 +21,7 @@
 // held in the message and in the submission.
 const elementBytes = 512
 
-var weighJSON = intake.WithWeight(func() func(p []byte) int64 { return weight.JSON(elementBytes) })
+var weighJSON = intake.WithWeight(func() func(p []byte) int64 { return weight.JSON(elementBytes, elementBytes) })
 
 // Read decodes the body of a request into m. It returns a codec.JSONError if the body
 // doesn't match the message, or the error of reading the body.
--- a/crowd/batch_test.go
+++ b/crowd/batch_test.go
@@ -99,5 +99,5 @@
 	waitUntil(t, "a complete job", s.submit)
 	close(stop)
 	t.Logf("%d batches taken", taken)
-	checkMemory(t, "entry", s.entry, (<-entry).memory, leastEntryMB)
+	checkMemory(t, "entry", s.entry, <-entry, leastEntryMB)
 }
--- a/crowd/orders_test.go
+++ b/crowd/orders_test.go
@@ -120,8 +120,8 @@
 			waitUntil(t, "the ordinary order to be in force", func() bool { return s.routesVersion() == want })
 			waitUntil(t, "a complete job", s.submit)
 			close(stop)
-			checkMemory(t, "core", s.core, (<-core).memory, orderMemoryMB)
-			checkMemory(t, "entry", s.entry, (<-entry).memory, tt.entryMB)
+			checkMemory(t, "core", s.core, <-core, orderMemoryMB)
+			checkMemory(t, "entry", s.entry, <-entry, tt.entryMB)
 			t.Logf("%d orders served", served)
 		})
 	}
@@ -133,9 +133,10 @@
 	return a.status == http.StatusServiceUnavailable && (a.retryAfter == "5" && a.took >= 5*time.Second || a.retryAfter == "1" && a.took >= 3*time.Second)
 }
 
-func checkMemory(t *testing.T, class string, p *process, memory int64, limitMB int) {
+func checkMemory(t *testing.T, class string, p *process, most use, limitMB int) {
 	t.Helper()
-	t.Logf("%s host: %d MB", class, memory>>20)
+	memory := most.memory
+	t.Logf("%s host: %d MB, of which %d MB aren't read", class, memory>>20, most.unread>>20)
 	if !p.alive() {
 		t.Errorf("the %s host has ended", class)
 	}
--- a/crowd/readers_test.go
+++ b/crowd/readers_test.go
@@ -57,7 +57,7 @@
 		t.Errorf("version %d is in force, want %d", version, first+versions)
 	}
 	close(stop)
-	checkMemory(t, "core", s.core, (<-core).memory, leastCoreMB)
+	checkMemory(t, "core", s.core, <-core, leastCoreMB)
 }
 
 // readSlowly reads the configuration in pieces, a little faster than the process gives up a client.
--- a/weight/json.go
+++ b/weight/json.go
@@ -15,24 +15,28 @@
 	return element + element*5/4
 }
 
-// JSON returns a function that takes the next piece of a JSON text and returns the weight of the text so far: the
-// number of elements in its arrays times element, the bytes that a decoded element takes. It doesn't check the
-// text. Objects are decoded into structs, so that their members take no memory of their own.
-func JSON(element int64) func(p []byte) int64 {
-	s := &scanner{}
+// JSON returns a function that takes the next piece of a JSON text and returns the weight of the text so far: the bytes
+// that the elements of its arrays take once they are decoded, outer for one of an outermost array and inner for one of
+// an array within another. It doesn't check the text. Objects are decoded into structs, so that their members take no
+// memory of their own.
+func JSON(outer, inner int64) func(p []byte) int64 {
+	s := &scanner{outer: outer, inner: inner}
 	return func(p []byte) int64 {
 		s.scan(p)
-		return s.elements * element
+		return s.weight
 	}
 }
 
-// scanner counts the elements of arrays in a JSON text.
+// scanner follows the arrays of a JSON text.
 type scanner struct {
-	elements int64
+	outer, inner int64
+	weight       int64
+
 	inString bool
 	escaped  bool
-	depth    int
-	arrays   [maxDepth/64 + 1]uint64 // a bit for each depth, set for an array
+	depth    int                     // of open values
+	arrays   int                     // open arrays among them
+	isArray  [maxDepth/64 + 1]uint64 // a bit for each depth
 }
 
 func (s *scanner) scan(p []byte) {
@@ -54,32 +58,50 @@
 	case '"':
 		s.inString = true
 	case '[':
-		s.elements++
 		s.open(true)
+		s.element()
 	case '{':
 		s.open(false)
 	case ']', '}':
-		s.depth = max(s.depth-1, 0)
+		s.close()
 	case ',':
 		if s.inArray() {
-			s.elements++
+			s.element()
 		}
 	}
 }
 
+// element counts an element of the innermost array.
+func (s *scanner) element() {
+	if s.arrays <= 1 {
+		s.weight += s.outer
+		return
+	}
+	s.weight += s.inner
+}
+
 func (s *scanner) open(array bool) {
-	s.depth++
-	if s.depth > maxDepth {
+	if array {
+		s.arrays++
+	}
+	if s.depth++; s.depth > maxDepth {
 		return
 	}
 	word, bit := s.depth/64, uint64(1)<<(s.depth%64)
-	s.arrays[word] &^= bit
+	s.isArray[word] &^= bit
 	if array {
-		s.arrays[word] |= bit
+		s.isArray[word] |= bit
+	}
+}
+
+func (s *scanner) close() {
+	if s.inArray() && s.arrays > 0 {
+		s.arrays--
 	}
+	s.depth = max(s.depth-1, 0)
 }
 
 // inArray reports whether the innermost open value is an array. Deeper than maxDepth it is taken for one.
 func (s *scanner) inArray() bool {
-	return s.depth > maxDepth || s.arrays[s.depth/64]>>(s.depth%64)&1 == 1
+	return s.depth > maxDepth || s.isArray[s.depth/64]>>(s.depth%64)&1 == 1
 }
