--- a/crowd/batch_test.go
+++ b/crowd/batch_test.go
@@ -53,26 +53,10 @@
 // takes many times their size once it is decoded.
 func TestBatches(t *testing.T) {
 	skipUnlessMeasurable(t)
-	for crowd, l := range batchCrowds() {
-		for name, body := range l.contents {
-			clients := whole(l.clients, body)
-			t.Run("entry host/"+crowd+"/"+name, func(t *testing.T) {
-				s := startSized(t, coreMemoryMB, leastEntryMB)
-				check(t, s.entry, l.to.at(s.entryIP), clients, leastEntryMB, maxFDs, s.submit)
-			})
-			t.Run("core host/"+crowd+"/"+name, func(t *testing.T) {
-				s := startSized(t, leastCoreMB, 1024)
-				version := 10
-				check(t, s.core, l.to.at(s.coreIP), clients, leastCoreMB, maxFDs, func() bool { version++; return s.put(version) })
-			})
-			t.Run("alone/"+crowd+"/"+name, func(t *testing.T) {
-				ip := reserveAddresses(t)(1)
-				p := startAlone(t, ip, aloneBytes)
-				ordinary := func() bool { return answers("GET", "http://"+at(ip, frontPort)+"/v1/status", "", http.StatusOK) }
-				waitUntil(t, "the status", ordinary)
-				check(t, p, l.to.at(ip), clients, aloneMemoryMB, 2*aloneConnections, ordinary)
-			})
-		}
+	for crowd, c := range batchCrowds() {
+		t.Run("entry host/"+crowd, func(t *testing.T) { c.playAtEntryHost(t) })
+		t.Run("core host/"+crowd, func(t *testing.T) { c.playAtCoreHost(t) })
+		t.Run("alone/"+crowd, func(t *testing.T) { c.playAlone(t) })
 	}
 }
 
--- a/crowd/content_test.go
+++ b/crowd/content_test.go
@@ -86,42 +86,30 @@
 // content takes many times their size once it is decoded.
 func TestContentsAtEntryHost(t *testing.T) {
 	skipUnlessMeasurable(t)
-	for listener, l := range entryContents() {
-		for name, body := range l.contents {
-			t.Run(listener+"/"+name, func(t *testing.T) {
-				s := startSized(t, coreMemoryMB, leastEntryMB)
-				check(t, s.entry, l.to.at(s.entryIP), whole(l.clients, body), leastEntryMB, maxFDs, s.submit)
-			})
-		}
+	for listener, c := range map[string]crowdOf{
+		"callers": {jobTarget, 60, jobContents(jobBytes)},
+		"reports": {reportTarget, 20, reportContents(reportBytes)},
+	} {
+		t.Run(listener, func(t *testing.T) { c.playAtEntryHost(t) })
 	}
 }
 
 // TestContentsAtCoreHost guards against the same at a core host.
 func TestContentsAtCoreHost(t *testing.T) {
 	skipUnlessMeasurable(t)
-	for listener, l := range coreContents() {
-		for name, body := range l.contents {
-			t.Run(listener+"/"+name, func(t *testing.T) {
-				s := startSized(t, leastCoreMB, 1024)
-				version := 1
-				check(t, s.core, l.to.at(s.coreIP), whole(l.clients, body), leastCoreMB, maxFDs, func() bool { version++; return s.put(10 + version) })
-			})
-		}
-	}
-}
-
-func coreContents() map[string]crowdOf {
-	return map[string]crowdOf{
+	for listener, c := range map[string]crowdOf{
 		"reports":              {reportTarget.onCore(), 40, reportContents(reportBytes)},
 		"configurations":       {configTarget, 40, configContents(reportBytes)},
 		"large configurations": {configTarget, 4, configContents(leastCoreMB<<20/12 - 1000)},
+	} {
+		t.Run(listener, func(t *testing.T) { c.playAtCoreHost(t) })
 	}
 }
 
 // TestContentsAlone guards against the same at a stand-alone daemon.
 func TestContentsAlone(t *testing.T) {
 	skipUnlessMeasurable(t)
-	crowds := map[string]crowdOf{
+	for listener, c := range map[string]crowdOf{
 		"jobs": {target{port: frontPort, method: "POST", path: "/v1/jobs"}, 60, map[string][]byte{
 			"empty tasks":  fill(aloneBytes, `{"Tasks":[{}`, `,{}`, `]}`),
 			"nested lists": fill(aloneBytes, ``, `[`, ``),
@@ -132,16 +120,41 @@
 		"lists": {target{port: frontPort, method: "PUT", path: "/v1/lists/customers"}, 60, map[string][]byte{
 			"many lines": fill(aloneBytes, `{"Text":"`, `a:\n`, `"}`),
 		}},
+	} {
+		t.Run(listener, func(t *testing.T) { c.playAlone(t) })
+	}
+}
+
+// playAtEntryHost lets the clients send the contents one after the other to an entry host.
+func (c crowdOf) playAtEntryHost(t *testing.T) {
+	s := startSized(t, coreMemoryMB, leastEntryMB)
+	for name, body := range c.contents {
+		t.Run(name, func(t *testing.T) {
+			check(t, s.entry, c.to.at(s.entryIP), whole(c.clients, body), leastEntryMB, maxFDs, s.submit)
+		})
 	}
-	for listener, l := range crowds {
-		for name, body := range l.contents {
-			t.Run(listener+"/"+name, func(t *testing.T) {
-				ip := reserveAddresses(t)(1)
-				p := startAlone(t, ip, aloneBytes)
-				ordinary := func() bool { return answers("GET", "http://"+at(ip, frontPort)+"/v1/status", "", http.StatusOK) }
-				waitUntil(t, "the status", ordinary)
-				check(t, p, l.to.at(ip), whole(l.clients, body), aloneMemoryMB, 2*aloneConnections, ordinary)
-			})
-		}
+}
+
+// playAtCoreHost does the same at a core host.
+func (c crowdOf) playAtCoreHost(t *testing.T) {
+	s := startSized(t, leastCoreMB, 1024)
+	version := 10
+	for name, body := range c.contents {
+		t.Run(name, func(t *testing.T) {
+			check(t, s.core, c.to.at(s.coreIP), whole(c.clients, body), leastCoreMB, maxFDs, func() bool { version++; return s.put(version) })
+		})
+	}
+}
+
+// playAlone does the same at a stand-alone daemon.
+func (c crowdOf) playAlone(t *testing.T) {
+	ip := reserveAddresses(t)(1)
+	p := startAlone(t, ip, aloneBytes)
+	ordinary := func() bool { return answers("GET", "http://"+at(ip, frontPort)+"/v1/status", "", http.StatusOK) }
+	waitUntil(t, "the status", ordinary)
+	for name, body := range c.contents {
+		t.Run(name, func(t *testing.T) {
+			check(t, p, c.to.at(ip), whole(c.clients, body), aloneMemoryMB, 2*aloneConnections, ordinary)
+		})
 	}
 }
