--- a/weight/json.go
+++ b/weight/json.go
@@ -40,18 +40,34 @@
 }
 
 func (s *scanner) scan(p []byte) {
-	for _, c := range p {
+	for len(p) > 0 {
 		switch {
 		case s.escaped:
-			s.escaped = false
+			s.escaped, p = false, p[1:]
 		case s.inString:
-			s.escaped, s.inString = c == '\\', c != '"'
+			p = s.text(p)
 		default:
-			s.token(c)
+			s.token(p[0])
+			p = p[1:]
 		}
 	}
 }
 
+// text skips the characters of a string up to its end or to a backslash, and returns what follows.
+func (s *scanner) text(p []byte) []byte {
+	for i, c := range p {
+		switch c {
+		case '"':
+			s.inString = false
+			return p[i+1:]
+		case '\\':
+			s.escaped = true
+			return p[i+1:]
+		}
+	}
+	return nil
+}
+
 // token handles a character outside of strings. An empty array counts as one with an element.
 func (s *scanner) token(c byte) {
 	switch c {
