--- a/intake/gate.go
+++ b/intake/gate.go
@@ -105,7 +105,7 @@
 		g.waiting = slices.DeleteFunc(g.waiting, func(m shortage) bool {
 			result := bytesTaken
 			switch {
-			case isRefused(m):
+			case isRefused(m): // needs nothing any more
 			case m.content:
 				content += m.bytes
 				result = g.freeContent(content)
