codec: leave out messages with strings longer than any name

Change: FromWire returns a TextError for a string of more than 16 KiB, except the text of a list. The inbox leaves out that message and passes on those behind it, as it does with one that can't be read: refusing the batch would hold up its link. Counted in PeerRefused as Text, logged as 206.

--- a/codec/envelope.go
+++ b/codec/envelope.go
@@ -26,6 +26,7 @@
 	body    reflect.Type // the generated message
 	encode  converter
 	decode  converter
+	longest longest // nil if the message holds no strings
 }
 
 // bodyField is the index of the oneof field in the generated Envelope.
@@ -51,6 +52,7 @@
 	}
 	v.encode = converterFor(v.body, v.plain)
 	v.decode = converterFor(v.plain, v.body)
+	v.longest = longestFor(v.body)
 	byPlain[v.plain] = v
 	byWrapper[reflect.PointerTo(wrapper)] = v
 }
@@ -122,6 +124,11 @@
 	if body.IsNil() {
 		return nil, &BodyError{Type: fmt.Sprintf("%T without content", e.GetBody())}
 	}
+	if v.longest != nil {
+		if n := v.longest(body.Elem()); n > maxText {
+			return nil, &TextError{Type: v.plain.Name(), Bytes: n}
+		}
+	}
 	plain := reflect.New(v.plain)
 	v.decode(plain.Elem(), body.Elem())
 	return plain.Elem().Interface(), nil
--- a/crowd/content_test.go
+++ b/crowd/content_test.go
@@ -75,13 +75,6 @@
 	contents map[string][]byte
 }
 
-func entryContents() map[string]crowdOf {
-	return map[string]crowdOf{
-		"callers": {jobTarget, 60, jobContents(jobBytes)},
-		"reports": {reportTarget, 20, reportContents(reportBytes)},
-	}
-}
-
 // TestContentsAtEntryHost guards against an entry host that runs out of memory on bodies of legal size whose
 // content takes many times their size once it is decoded.
 func TestContentsAtEntryHost(t *testing.T) {
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -69,6 +69,11 @@
 		Meaning: "A batch of messages of another host wasn't accepted, as its name isn't valid (Name) or as more hosts send messages than are tracked (Hosts).",
 		Action:  "Look for what else sends to the port for other hosts.",
 	}
+	PeerMessageRefused = Event{
+		Code: 206, Name: "PeerMessageRefused", Level: zerolog.WarnLevel, Fields: []string{"Service", "Error"},
+		Meaning: "A message of another host holds a name that is longer than any may be. It wasn't passed on; those behind it were.",
+		Action:  "Look for what else sends to the port for other hosts.",
+	}
 	PrimaryChanged = Event{
 		Code: 300, Name: "PrimaryChanged", Level: zerolog.InfoLevel, Fields: []string{"Primary", "View"},
 		Meaning: "Another host leads the data centre's group.",
@@ -140,7 +145,7 @@
 func Catalogue() []Event {
 	return append([]Event{
 		Started, Stopping, Stopped, ServicePanicked, Failed, DiskLost, ClientsClosed,
-		PeerUnreachable, PeerReachable, PeerDiscarded, PeerMoved, PeerMessageInvalid, PeerUntracked,
+		PeerUnreachable, PeerReachable, PeerDiscarded, PeerMoved, PeerMessageInvalid, PeerUntracked, PeerMessageRefused,
 		PrimaryChanged, LeaseLost, HostExpelled, HostLeft, ServingAlone, ServingAloneEnded,
 		BackendServerAnnounced, BackendServerLapsed, BackendServerLeft,
 		BackendServerEjected, BackendServerRestored,
--- a/events/output.go
+++ b/events/output.go
@@ -43,11 +43,13 @@
 	if i := bytes.Index(line[:keptText], []byte(`,"Name":`)); i >= 0 {
 		first = append(bytes.Clone(line[:i]), ',')
 	}
-	text, err := json.Marshal(string(line[:keptText]))
-	if err != nil {
-		text = []byte(`""`)
+	var text bytes.Buffer
+	encoder := json.NewEncoder(&text)
+	encoder.SetEscapeHTML(false) // would make six characters of one
+	if err := encoder.Encode(string(line[:keptText])); err != nil {
+		text.WriteString(`""`)
 	}
-	return fmt.Appendf(first, `"LongLine":%d,"Text":%s}`+"\n", len(line), text)
+	return fmt.Appendf(first, `"LongLine":%d,"Text":%s}`+"\n", len(line), bytes.TrimSpace(text.Bytes()))
 }
 
 // NewAsyncWriter returns a writer that never blocks: lines are queued for w in a bounded queue, and
--- a/model/server.go
+++ b/model/server.go
@@ -52,9 +52,11 @@
 // MaxNumber is the largest whole number that every JSON reader keeps exactly.
 const MaxNumber = 1 << 53
 
+// MaxName is the size in bytes of the longest name or label.
+const MaxName = 255
+
 const (
-	maxName   = 255 // bytes of a name or label
-	maxLabels = 64  // per server
+	maxLabels = 64 // per server
 
 	minBorn = 946_684_800_000   // Unix milliseconds, the year 2000
 	maxBorn = 4_102_444_800_000 // Unix milliseconds, the year 2100
@@ -135,7 +137,7 @@
 // ValidName reports whether a name from outside may be used: 1 to 255 bytes of printable UTF-8. Other
 // strings can't be encoded in messages to other hosts or break up log lines.
 func ValidName(name string) bool {
-	if name == "" || len(name) > maxName || !utf8.ValidString(name) {
+	if name == "" || len(name) > MaxName || !utf8.ValidString(name) {
 		return false
 	}
 	for _, r := range name {
--- a/model/server_test.go
+++ b/model/server_test.go
@@ -38,7 +38,7 @@
 		"negative memory":       {change: func(s *Server) { s.MemoryMB = math.MinInt64 }, field: "MemoryMB"},
 		"accelerators":          {change: func(s *Server) { s.Accelerators = math.MaxInt64 }, field: "Accelerators"},
 		"many labels":           {change: func(s *Server) { s.Labels = slices.Repeat(s.Labels, maxLabels) }, field: "Labels"},
-		"long label":            {change: func(s *Server) { s.Labels[0] = strings.Repeat("a", maxName+1) }, field: "Labels"},
+		"long label":            {change: func(s *Server) { s.Labels[0] = strings.Repeat("a", MaxName+1) }, field: "Labels"},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/peers/inbox.go
+++ b/peers/inbox.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -35,10 +36,11 @@
 	forgetAfter = time.Minute
 )
 
-// Reasons for which a batch isn't accepted.
+// Reasons for which a batch or a message isn't accepted.
 const (
 	refusedName  = "Name"  // the name of the host isn't valid
 	refusedHosts = "Hosts" // more hosts send messages than are tracked
+	refusedText  = "Text"  // a message holds too long a string
 )
 
 // remote is what is known of a remote host.
@@ -63,7 +65,7 @@
 	OnSent      func(bytes int)     // called with the bytes sent in responses, by several tasks
 	Limits      intake.Limits       // of the listener
 	OnClosed    func(intake.Closed) // called about connections that the listener closed, nil for none
-	OnRefused   func(reason string) // called about each batch that isn't accepted from a host, nil for none
+	OnRefused   func(reason string) // called about each batch or message that isn't accepted, nil for none
 
 	hosts map[string]*remote
 }
@@ -131,6 +133,18 @@
 	}
 }
 
+// refuseMessage counts and logs a message that isn't passed on as it holds too long a string.
+func (b *Inbox) refuseMessage(e *wire.Envelope, err error) {
+	var long *codec.TextError
+	if !errors.As(err, &long) {
+		return
+	}
+	b.Log.At(events.PeerMessageRefused).Str("Service", fmt.Sprintf("%.100s", e.GetService())).Err(err).Send()
+	if b.OnRefused != nil {
+		b.OnRefused(refusedText)
+	}
+}
+
 // forget removes the hosts that haven't been active for forgetAfter, and reports whether there are any.
 func (b *Inbox) forget(now time.Time) bool {
 	before := len(b.hosts)
@@ -158,6 +172,7 @@
 func (b *Inbox) dispatch(e *wire.Envelope) error {
 	body, err := codec.FromWire(e)
 	if err != nil {
+		b.refuseMessage(e, err)
 		return err
 	}
 	ref, err := b.Find(e.GetService())
