intake: follow documents that are sent by response, not by place

Found by reading the code again: a connection that is closed for its outdated document frees its place in the gate before its handler ends. A new connection in that place, which reads the newest version, matched the entry of the former one and was closed as well.

Change: EvictOutdated returns numbers in the list of responses, and each of them is closed at most once, by exchanging the version that it sends.

Evidence: TestOutdatedOnce fails with the code before (closes the connection in the former place); TestOutdatedReaders.

--- a/intake/document.go
+++ b/intake/document.go
@@ -8,7 +8,7 @@
 
 // Sending is a document that is being sent as a response.
 type Sending struct {
-	Conn    int // number of the connection
+	Conn    int // number of the connection among those that send
 	Version uint64
 	Bytes   int64 // of the document; responses with the same version share them
 }
@@ -31,7 +31,7 @@
 		return func() {}
 	}
 	c.sends.Store(version)
-	c.gate.task.Reply(sendBegun{conn: c, Sending: Sending{Conn: c.slot, Version: version, Bytes: bytes}})
+	c.gate.task.Reply(sendBegun{conn: c, Sending: Sending{Version: version, Bytes: bytes}})
 	return func() {
 		c.sends.Store(0)
 		c.gate.task.Reply(sendEnded{conn: c})
@@ -48,11 +48,10 @@
 	}
 	all := make([]Sending, len(g.sending))
 	for i, s := range g.sending {
-		all[i] = s.Sending
+		all[i] = Sending{Conn: i, Version: s.Version, Bytes: s.Bytes}
 	}
-	outdated := EvictOutdated(all, g.limits.Outdated)
-	for _, s := range g.sending {
-		if slices.Contains(outdated, s.Conn) && s.conn.sends.Load() == s.Version {
+	for _, i := range EvictOutdated(all, g.limits.Outdated) {
+		if s := g.sending[i]; s.conn.sends.CompareAndSwap(s.Version, 0) {
 			g.counts[Outdated].Add(1)
 			_ = s.conn.drop()
 		}
--- a/intake/document_test.go
+++ b/intake/document_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"net"
 	"slices"
 	"testing"
 )
@@ -37,3 +38,37 @@
 		})
 	}
 }
+
+// TestOutdatedOnce guards against closing a connection that has the place of one that was closed, and against closing one
+// whose response has ended.
+func TestOutdatedOnce(t *testing.T) {
+	g := New(Limits{Conns: 2, Outdated: 1}, nil)
+	open := func(slot int, version uint64) (*conn, sendBegun) {
+		client, server := net.Pipe()
+		t.Cleanup(func() { _ = client.Close() })
+		c := &conn{Conn: server, gate: g, slot: slot}
+		c.sends.Store(version)
+		return c, sendBegun{conn: c, Sending: Sending{Version: version, Bytes: 100}}
+	}
+	first, begun := open(0, 1)
+	g.handleSend(begun)
+	second, begun := open(1, 2)
+	g.handleSend(begun) // closes the first one, which ends later
+	third, begun := open(0, 2)
+	g.handleSend(begun)
+	g.handleSend(sendEnded{conn: first})
+	second.sends.Store(0) // its response has ended, which the gate doesn't know yet
+	fourth, begun := open(0, 3)
+	g.handleSend(begun)
+	for name, tt := range map[string]struct {
+		conn   *conn
+		closed bool
+	}{"outdated": {first, true}, "ended": {second, false}, "outdated later": {third, true}, "newest": {fourth, false}} {
+		if tt.conn.closed.Load() != tt.closed {
+			t.Errorf("%s: closed %v, want %v", name, !tt.closed, tt.closed)
+		}
+	}
+	if n := g.counts[Outdated].Load(); n != 2 {
+		t.Errorf("%d counted, want 2", n)
+	}
+}
