--- a/review/rig-3/cases.go
+++ b/review/rig-3/cases.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 		"start-reborn": {play: late.play, late: late.decide},
 		"cancel-zone":  {play: cancelZone},
 		"cancel-cut":   {play: cancelCut, relayed: true},
+		"wide-jobs":    {play: wideJobs},
 	}
 }
 
@@ -300,3 +302,64 @@
 	time.Sleep(contactTime + 500*time.Millisecond)
 	return copied(ctx, s, w, s.others(zones[2])[0], j, ack), nil
 }
+
+// wideJobs: two jobs with 10,000 small tasks each arrive in each zone, beside ordinary jobs.
+func wideJobs(s *system, w *workers, trouble bool) (string, error) {
+	const (
+		recovery = 12 * time.Second // recovery_s
+		measured = 12 * time.Second
+		calm     = 3 * time.Second
+	)
+	ctx, cancel := context.WithTimeout(context.Background(), 80*time.Second)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	type count struct{ sent, served int }
+	// load sends ten ordinary jobs a second in each zone and returns how many of them were served.
+	load := func(length time.Duration) count {
+		var c count
+		for began := time.Now(); time.Since(began) < length; time.Sleep(100 * time.Millisecond) {
+			for _, zone := range zones {
+				j := job{id: newID(), tasks: 2, cpu: 1000, work: 60 * time.Millisecond, deadline: 1500 * time.Millisecond}
+				fronts := s.others(zone)
+				m := fronts[rand.IntN(len(fronts))]
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					ctx, cancel := context.WithTimeout(ctx, j.deadline)
+					defer cancel()
+					a := <-s.post(ctx, m, j)
+					mu.Lock()
+					defer mu.Unlock()
+					if c.sent++; a.status/100 == 2 {
+						c.served++
+					}
+				}()
+			}
+		}
+		wg.Wait()
+		return c
+	}
+	before := load(calm)
+	s.rec.printf("before    %d of %d ordinary jobs were served", before.served, before.sent)
+	if before.served*4 < before.sent*3 {
+		return "", fmt.Errorf("%w: ordinary jobs aren't served", errNotRun)
+	}
+	if trouble {
+		wide := job{tasks: 10_000, cpu: 1, work: 10 * time.Second, deadline: 45 * time.Second}
+		for _, zone := range zones {
+			for range 2 {
+				wide.id = newID()
+				go s.insist(ctx, s.others(zone), wide)
+			}
+		}
+	}
+	during := load(recovery)
+	s.rec.printf("first     %d of %d ordinary jobs were served in the first %v", during.served, during.sent, recovery)
+	after := load(measured)
+	s.rec.printf("then      %d of %d ordinary jobs were served in the next %v", after.served, after.sent, measured)
+	if after.served*4 < after.sent {
+		return fmt.Sprintf("Fault: %d of %d ordinary jobs were served later than %v after six jobs with many tasks", after.served, after.sent, recovery), nil
+	}
+	return "", nil
+}
--- a/review/rig-3/client.go
+++ b/review/rig-3/client.go
@@ -23,7 +23,7 @@
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
 func (j job) body() string {
-	return fmt.Sprintf(`{"spec":"ms=%d cpu=%d","phases":[{"count":%d,"cpu":%d,"mem_mb":64,"est_ms":%d}],"best_effort":true}`,
+	return fmt.Sprintf(`{"spec":"ms=%d cpu=%d","phases":[{"count":%d,"cpu":%d,"mem_mb":1,"est_ms":%d}],"best_effort":true}`,
 		j.work.Milliseconds(), j.cpu, j.tasks, j.cpu, j.work.Milliseconds())
 }
 
@@ -82,3 +82,15 @@
 	defer cancel()
 	return s.call(ctx, m, http.MethodDelete, id, "", 2*time.Second)
 }
+
+// insist hands a job in, and again retransmit_ms after no answer, a broken connection, 502 or 504, at the next machine.
+func (s *system) insist(ctx context.Context, list []*machine, j job) {
+	for n := 0; ctx.Err() == nil; n++ {
+		switch a := <-s.post(ctx, list[n%len(list)], j); a.status {
+		case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
+			time.Sleep(retransmit)
+		default:
+			return
+		}
+	}
+}
--- a/review/rig-3/system.go
+++ b/review/rig-3/system.go
@@ -23,6 +23,7 @@
 	maxHold       = time.Second
 	heartbeat     = 1500 * time.Millisecond
 	cancelTime    = 3 * time.Second // cancel_ms
+	retransmit    = 1300 * time.Millisecond
 	contactTime   = 3 * time.Second // contact_ms
 	restartDelay  = 300 * time.Millisecond
 	routeHost     = "nony24.example"
--- a/review/rig-3/worker.go
+++ b/review/rig-3/worker.go
@@ -83,13 +83,14 @@
 	rec  *record
 	late lateOrder
 
-	mu    sync.Mutex
-	list  []*worker
-	spans []*span
+	mu     sync.Mutex
+	list   []*worker
+	spans  []*span
+	logged map[string]int // lines in the record, by job
 }
 
 func newWorkers(sys *system, late lateOrder) *workers {
-	return &workers{sys: sys, rec: sys.rec, late: late}
+	return &workers{sys: sys, rec: sys.rec, late: late, logged: map[string]int{}}
 }
 
 // add starts a worker and its heartbeats.
@@ -243,7 +244,9 @@
 		defer w.mu.Unlock()
 		l.highest[o.Task] = max(l.highest[o.Task], o.Run)
 		if r, ok := l.runs[o.Task]; ok && r.number <= o.Run {
-			w.fleet.rec.printf("worker    %s is told to stop run %d of %s", w.id, o.Run, o.Task)
+			w.fleet.mu.Lock()
+			w.fleet.logRun(o.Task, "worker    %s is told to stop run %d of %s", w.id, o.Run, o.Task)
+			w.fleet.mu.Unlock()
 			w.end(l, o.Task, "stopped")
 		}
 		return http.StatusOK, map[string]any{"clock_ms": l.clock()}
@@ -444,14 +447,14 @@
 func (f *workers) began(task, id string, number int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.rec.printf("worker    %s starts run %d of %s", id, number, task)
+	f.logRun(task, "worker    %s starts run %d of %s", id, number, task)
 	f.spans = append(f.spans, &span{task: task, worker: id, run: number, from: time.Now()})
 }
 
 func (f *workers) ended(task, id string, number int, how string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.rec.printf("worker    %s run %d of %s ends: %s", id, number, task, how)
+	f.logRun(task, "worker    %s run %d of %s ends: %s", id, number, task, how)
 	for _, s := range f.spans {
 		if s.task == task && s.worker == id && s.run == number && s.to.IsZero() {
 			s.to, s.how = time.Now(), how
@@ -459,6 +462,19 @@
 	}
 }
 
+// maxLogged is the number of lines about the runs of one job that the record has at most.
+const maxLogged = 60
+
+// logRun records a line about a run. The caller holds the lock.
+func (f *workers) logRun(task, format string, args ...any) {
+	job, _, _ := strings.Cut(task, ".")
+	if f.logged[job]++; f.logged[job] <= maxLogged {
+		f.rec.printf(format, args...)
+	} else if f.logged[job] == maxLogged+1 {
+		f.rec.printf("worker    (further runs of %s are left out)", job)
+	}
+}
+
 // runsOf returns the runs of a job's tasks, in the order of their start.
 func (f *workers) runsOf(job string) []span {
 	f.mu.Lock()
