--- a/review/rig-3/cases.go
+++ b/review/rig-3/cases.go
@@ -19,6 +19,7 @@
 		"cancel-zone":  {play: cancelZone},
 		"cancel-cut":   {play: cancelCut, relayed: true},
 		"wide-jobs":    {play: wideJobs},
+		"memory":       {play: memory},
 	}
 }
 
@@ -363,3 +364,76 @@
 	}
 	return "", nil
 }
+
+// memory: rounds of small requests for jobs of 10,000 quick tasks arrive in one zone. The platform kills a process that
+// uses more than memory_mb, and starts it again.
+func memory(s *system, w *workers, trouble bool) (string, error) {
+	const (
+		length = 75 * time.Second
+		round  = 700
+	)
+	ctx, cancel := context.WithTimeout(context.Background(), length)
+	defer cancel()
+	fronts := s.others(zones[0])
+	ends := map[string]int{}
+	most := map[string]int{}
+	var watch sync.WaitGroup
+	for _, m := range fronts {
+		watch.Add(1)
+		go func() {
+			defer watch.Done()
+			for ctx.Err() == nil {
+				time.Sleep(20 * time.Millisecond)
+				mb := m.memory()
+				s.mu.Lock()
+				most[m.name] = max(most[m.name], mb)
+				s.mu.Unlock()
+				if mb <= frontMemory {
+					continue
+				}
+				s.rec.printf("platform  %s uses %d MB, more than its %d", m.name, mb, frontMemory)
+				s.kill(m)
+				s.mu.Lock()
+				ends[m.name]++
+				s.mu.Unlock()
+				time.Sleep(restartDelay)
+				if s.restart(m) != nil {
+					return
+				}
+			}
+		}()
+	}
+	tasks := 2
+	if trouble {
+		tasks = 10_000
+	}
+	body := fmt.Sprintf(`{"spec":"ms=1 cpu=1","phases":[{"count":%d,"cpu":1,"est_ms":1}],"best_effort":true}`, tasks)
+	s.rec.printf("client    rounds of %d POST requests of %d bytes to the machines of %s, each 2 s", round, len(body), zones[0])
+	var calls sync.WaitGroup
+	for n := 0; ctx.Err() == nil; n++ {
+		for k := range round {
+			calls.Add(1)
+			go func() {
+				defer calls.Done()
+				s.quiet(ctx, fronts[(n+k)%len(fronts)], newID(), body, 10*time.Minute)
+			}()
+		}
+		time.Sleep(2 * time.Second)
+	}
+	<-ctx.Done()
+	calls.Wait()
+	watch.Wait()
+	for _, m := range fronts {
+		s.rec.printf("platform  the process on %s was ended %d times for its memory, at most %d MB", m.name, ends[m.name], most[m.name])
+	}
+	machines := 0
+	for _, n := range ends {
+		if n >= 3 {
+			machines++
+		}
+	}
+	if machines >= 2 {
+		return fmt.Sprintf("Fault: the processes on %d of %d machines used too much memory three times or more", machines, len(s.machines)), nil
+	}
+	return "", nil
+}
--- a/review/rig-3/client.go
+++ b/review/rig-3/client.go
@@ -94,3 +94,19 @@
 		}
 	}
 }
+
+// quiet sends one request and leaves it out of the record.
+func (s *system) quiet(ctx context.Context, m *machine, id, body string, deadline time.Duration) {
+	c := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.front+routePrefix+id, strings.NewReader(body))
+	if err != nil {
+		return
+	}
+	r.Host = routeHost
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Dogwoodrock-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	if a, err := c.Do(r); err == nil {
+		_, _ = io.Copy(io.Discard, a.Body)
+		_ = a.Body.Close()
+	}
+}
--- a/review/rig-3/system.go
+++ b/review/rig-3/system.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -30,6 +31,7 @@
 	routePrefix   = "/lohu930/"
 	serviceName   = "dispatch"
 	frontsPerZone = 3
+	frontMemory   = 284 // MB
 )
 
 var zones = []string{"changwon", "gimhae", "jinju"}
@@ -110,6 +112,7 @@
 	controls []string
 	relays   *relays // nil for none
 	closers  []func()
+	mu       sync.Mutex
 }
 
 var errNotRun = errors.New("the case couldn't run")
@@ -202,7 +205,7 @@
 // start starts the process of a machine, as the platform does.
 func (s *system) start(m *machine, bootstrap bool) error {
 	path := filepath.Join(m.folder, "boot.toml")
-	serves, listen, data, memory, disk := "front", fmt.Sprintf("front = %q\nreadiness = %q", m.front, s.address(m.ip, 34)), "", 284, 0
+	serves, listen, data, memory, disk := "front", fmt.Sprintf("front = %q\nreadiness = %q", m.front, s.address(m.ip, 34)), "", frontMemory, 0
 	if m.class == "core" {
 		serves, listen, memory, disk = "control", fmt.Sprintf("control = %q", m.control), 280, 128
 		data = fmt.Sprintf("data_dir = %q", filepath.Join(m.folder, "data"))
@@ -379,3 +382,16 @@
 	s.rec.printf("platform  the process on %s has ended", m.name)
 	return nil
 }
+
+// memory returns the resident memory of a machine's process in MB, 0 if it isn't known.
+func (m *machine) memory() int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", m.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * os.Getpagesize() >> 20
+}
